Keep one estimate of a team's bucket on each VM instead of shares of it

Change: VMs report what they admitted; each keeps an estimate of the one bucket and divides it by demand only near its end.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -3,6 +3,7 @@
 #include "figlanding/error.h"
 #include "figlanding/gateway/key_ownership.h"
 #include "figlanding/gateway/slot_broker.h"
+#include "figlanding/gateway/team_limits.h"
 
 #include <map>
 #include <string>
@@ -30,7 +31,7 @@
 {
     bool leaving = false;
     LogOffset ownershipOffset = 0; ///< of the newest ownership record that the sender has read
-    std::map<TeamId, double> demand; ///< requests per second
+    std::map<TeamId, TeamUse> uses; ///< of the teams' rates
     std::vector<KeyCount> keys;
     /// Average service times of the servers whose slots the sender hands out.
     std::map<BackendServerId, milliseconds> serviceTimes;
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -17,9 +17,9 @@
 
 auto toJson(const Heartbeat &message) -> json
 {
-    auto demand = json::array();
-    for (const auto &[team, rate] : message.demand) {
-        demand.push_back({team.value(), rate});
+    auto uses = json::array();
+    for (const auto &[team, use] : message.uses) {
+        uses.push_back({team.value(), use.admitted, use.demand, use.admittedRate});
     }
     auto keys = json::array();
     for (const auto &count : message.keys) {
@@ -32,7 +32,7 @@
     return {static_cast<int>(Kind::Heartbeat),
             message.leaving,
             message.ownershipOffset,
-            std::move(demand),
+            std::move(uses),
             std::move(keys),
             std::move(times)};
 }
@@ -70,7 +70,10 @@
     auto message = Heartbeat{.leaving = fields.at(1).get<bool>(),
                              .ownershipOffset = fields.at(2).get<LogOffset>()};
     for (const auto &row : fields.at(3)) {
-        message.demand.emplace(TeamId(row.at(0).get<std::string>()), row.at(1).get<double>());
+        message.uses.emplace(TeamId(row.at(0).get<std::string>()),
+                             TeamUse{.admitted = row.at(1).get<std::uint64_t>(),
+                                     .demand = row.at(2).get<double>(),
+                                     .admittedRate = row.at(3).get<double>()});
     }
     for (const auto &row : fields.at(4)) {
         const auto key = row.at(1).get<ShardKey>();
--- /dev/null
+++ b/src/core/gateway/team_limits.cpp
@@ -0,0 +1,149 @@
+#include "figlanding/gateway/team_limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figlanding {
+
+namespace {
+
+auto toSeconds(Duration duration) -> double
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+TeamLimits::TeamLimits(const TeamLimitOptions &options)
+    : m_options(options)
+{ }
+
+auto TeamLimits::setFleetSize(std::size_t vms) -> void
+{
+    m_vms = static_cast<double>(std::max<std::size_t>(1, vms));
+}
+
+auto TeamLimits::bucketOf(const TeamId &team, const TeamRate &rate, TimePoint now) -> Bucket &
+{
+    const auto capacity = std::max(1.0, rate.burst * m_options.usableBurst);
+    const auto [found, added] = m_buckets.try_emplace(team);
+    auto &bucket = found->second;
+    if (added) {
+        // Nothing is known of what the other VMs have admitted lately.
+        bucket.level = capacity / 2;
+        bucket.updatedAt = now;
+    }
+    const auto elapsed = toSeconds(now - bucket.updatedAt);
+    const auto decay = std::exp(-elapsed / toSeconds(m_options.window));
+    bucket.use.demand *= decay;
+    bucket.use.admittedRate *= decay;
+    bucket.updatedAt = now;
+    bucket.level = std::min(capacity, bucket.level + elapsed * rate.perSecond);
+    const auto part = share(bucket, team, rate, now);
+    bucket.ownPart = std::min(std::max(1.0, capacity * m_options.freePart * part),
+                              bucket.ownPart + elapsed * rate.perSecond * part);
+    return bucket;
+}
+
+auto TeamLimits::share(const Bucket &bucket, const TeamId &team, const TeamRate &rate,
+                       TimePoint now) const -> double
+{
+    auto total = bucket.use.demand;
+    for (const auto &[vm, report] : m_reports) {
+        const auto found = report.uses.find(team);
+        if (found != report.uses.end() && now - report.at < m_options.reportLifetime) {
+            total += found->second.demand;
+        }
+    }
+    const auto even = m_options.evenPart * rate.perSecond;
+    return (bucket.use.demand + even / m_vms) / (total + even);
+}
+
+auto TeamLimits::unreported(const TeamId &team, TimePoint now) const -> double
+{
+    auto sum = 0.0;
+    for (const auto &[vm, report] : m_reports) {
+        const auto found = report.uses.find(team);
+        const auto age = now - report.at;
+        if (found != report.uses.end() && age < m_options.reportLifetime) {
+            const auto gap = std::min<Duration>(age, m_options.longestGap);
+            sum += found->second.admittedRate * toSeconds(gap);
+        }
+    }
+    return sum;
+}
+
+auto TeamLimits::admit(const TeamId &team, const TeamRate &rate, TimePoint now) -> bool
+{
+    if (rate.perSecond <= 0.0) {
+        return true;
+    }
+    auto &bucket = bucketOf(team, rate, now);
+    const auto step = 1.0 / toSeconds(m_options.window);
+    bucket.use.demand += step;
+    const auto left = bucket.level - unreported(team, now);
+    const auto free = left >= std::max(1.0, rate.burst * m_options.freePart);
+    if (!free && (left < 1.0 || bucket.ownPart < 1.0)) {
+        return false;
+    }
+    bucket.level -= 1.0;
+    bucket.ownPart = std::max(0.0, bucket.ownPart - 1.0);
+    bucket.use.admitted += 1;
+    bucket.use.admittedRate += step;
+    return true;
+}
+
+auto TeamLimits::report(const VmId &vm, const std::string &incarnation,
+                        const std::map<TeamId, TeamUse> &uses, TimePoint now) -> void
+{
+    auto &last = m_reports[vm];
+    const auto sameRun = last.incarnation == incarnation;
+    for (const auto &[team, use] : uses) {
+        const auto known = last.uses.find(team);
+        const auto before = sameRun && known != last.uses.end() ? known->second.admitted : 0;
+        const auto bucket = m_buckets.find(team);
+        // The first report of a run counts from its start, which this VM may not have seen.
+        const auto counts = sameRun && use.admitted > before;
+        if (counts && bucket != m_buckets.end()) {
+            bucket->second.level -= static_cast<double>(use.admitted - before);
+        }
+    }
+    last = {.incarnation = incarnation, .uses = uses, .at = now};
+}
+
+auto TeamLimits::uses(TimePoint now) -> std::map<TeamId, TeamUse>
+{
+    auto result = std::map<TeamId, TeamUse>{};
+    for (const auto &[team, bucket] : m_buckets) {
+        auto use = bucket.use;
+        const auto decay =
+            std::exp(-toSeconds(now - bucket.updatedAt) / toSeconds(m_options.window));
+        use.demand *= decay;
+        use.admittedRate *= decay;
+        result.emplace(team, use);
+    }
+    return result;
+}
+
+auto TeamLimits::retryAfter(const TeamId &team, const TeamRate &rate) const -> Duration
+{
+    const auto found = m_buckets.find(team);
+    if (found == m_buckets.end() || rate.perSecond <= 0.0) {
+        return Duration::zero();
+    }
+    const auto &bucket = found->second;
+    const auto missing = std::max(0.0, 1.0 - bucket.level);
+    // Refused callers stand behind each other: one that is refused at this VM finds room after
+    // those that were refused before it.
+    const auto excess = std::max(0.0, bucket.use.demand - bucket.use.admittedRate);
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>((missing + excess) / rate.perSecond));
+}
+
+auto TeamLimits::level(const TeamId &team) const -> double
+{
+    const auto found = m_buckets.find(team);
+    return found == m_buckets.end() ? 0.0 : found->second.level;
+}
+
+} // namespace figlanding
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,7 +48,7 @@
         , m_store(m_storeClient, m_settings.store)
         , m_orders(m_orderClient)
         , m_view(m_settings.vm, {})
-        , m_shares({})
+        , m_limits({})
         , m_slots({.self = m_settings.vm,
                    .zone = m_settings.zone,
                    .broker = {},
@@ -57,7 +57,7 @@
                   {.send = [this](const auto &vm, const auto &payload) { m_link->send(vm, payload); },
                    .decided =
                        [this](auto ticket, const auto &outcome) { m_path.onSlot(ticket, outcome); }})
-        , m_path(loop, m_serverClient, m_slots, m_shares,
+        , m_path(loop, m_serverClient, m_slots, m_limits,
                  {.retryRatio = m_settings.retryRatio * retryPart,
                   .retryReserve = m_settings.retryReserve * retryPart / expectedVms,
                   .randomSeed = std::random_device{}()},
@@ -387,7 +387,7 @@
                          .heardAt = now,
                          .leaving = heartbeat->leaving,
                          .ownershipOffset = heartbeat->ownershipOffset});
-            m_shares.report(message.from, heartbeat->demand, now);
+            m_limits.report(message.from, message.incarnation, heartbeat->uses, now);
             for (const auto &count : heartbeat->keys) {
                 addLoad(count.service, count.key, count.requests);
             }
@@ -407,7 +407,7 @@
         const auto now = m_loop.now();
         auto heartbeat = Heartbeat{.leaving = m_leaving,
                                    .ownershipOffset = m_ownership.end,
-                                   .demand = m_shares.demand(now),
+                                   .uses = m_limits.uses(now),
                                    .serviceTimes = m_slots.serviceTimes()};
         for (const auto &[key, requests] : std::exchange(m_keyCounts, {})) {
             heartbeat.keys.push_back(
@@ -417,7 +417,7 @@
             m_serviceTimes[server] = time;
         }
         m_link->sendToAll(heartbeat);
-        m_shares.setFleetSize(m_view.aliveCount(now));
+        m_limits.setFleetSize(m_view.aliveCount(now));
         if (!m_announced && now >= m_announceAt) {
             m_announceAt = now + milliseconds(1500);
             announceSelf();
@@ -515,7 +515,7 @@
     OwnershipView m_ownership;
     FleetView m_view;
     std::unique_ptr<FleetLink> m_link;
-    TeamShares m_shares;
+    TeamLimits m_limits;
     SlotClient m_slots;
     RequestPath<typename Platform::Protocol> m_path;
     KeyDuty<StoreType, typename Platform::OrderSender> m_duty;
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -3,7 +3,7 @@
 #include "figlanding/gateway/caller_protocol.h"
 #include "figlanding/gateway/desired_state.h"
 #include "figlanding/gateway/server_registry.h"
-#include "figlanding/gateway/team_share.h"
+#include "figlanding/gateway/team_limits.h"
 #include "figlanding/random.h"
 #include "figlanding/retry_policy.h"
 #include "gateway/request_record.h"
@@ -52,12 +52,12 @@
 class RequestPath
 {
 public:
-    RequestPath(EventLoop &loop, HttpClient &client, SlotClient &slots, TeamShares &shares,
+    RequestPath(EventLoop &loop, HttpClient &client, SlotClient &slots, TeamLimits &limits,
                 RequestPathOptions options, RequestPathHandlers handlers)
         : m_loop(loop)
         , m_client(client)
         , m_slots(slots)
-        , m_shares(shares)
+        , m_limits(limits)
         , m_options(std::move(options))
         , m_handlers(std::move(handlers))
         , m_random(m_options.randomSeed)
@@ -204,10 +204,10 @@
         running.record.team = team->id;
         running.priority = team->priority.value_or(running.priority);
         const auto rate = TeamRate{.perSecond = team->ratePerSecond, .burst = team->burst};
-        if (!m_shares.admit(team->id, rate, running.receivedAt)) {
+        if (!m_limits.admit(team->id, rate, running.receivedAt)) {
             return Refusal{.reason = RefusalReason::RateLimited,
                            .detail = "team " + team->id.value(),
-                           .retryAfter = m_shares.retryAfter(team->id, rate, running.receivedAt)};
+                           .retryAfter = m_limits.retryAfter(team->id, rate)};
         }
         return std::nullopt;
     }
@@ -491,7 +491,7 @@
     EventLoop &m_loop;
     HttpClient &m_client;
     SlotClient &m_slots;
-    TeamShares &m_shares;
+    TeamLimits &m_limits;
     RequestPathOptions m_options;
     RequestPathHandlers m_handlers;
     RandomEngine m_random;
