--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -137,6 +137,9 @@
     milliseconds unreachableAfter{2500}; ///< a server without answers for this long is not renewed
     milliseconds silentAnnouncements{2000}; ///< without these a closed port means that it ended
     milliseconds rebalanceInterval{1000};
+    /// The first owners are chosen when no server has joined for this long ...
+    milliseconds firstOwnersPause{500};
+    milliseconds firstOwnersLatest{1500}; ///< ... or this long after the first one
     KeyPlanOptions plan;
 
     auto operator==(const KeyControllerOptions &) const -> bool = default;
@@ -193,6 +196,10 @@
     {
         std::vector<Range> ranges;
         TimePoint rebalancedAt;
+        bool hadOwners = false;
+        std::size_t candidateCount = 0;
+        TimePoint candidatesChangedAt;
+        std::optional<TimePoint> firstCandidateAt;
     };
     struct Order
     {
@@ -223,6 +230,8 @@
                 TimePoint now, std::vector<ControllerAction> &actions) -> void;
     auto renew(const ServiceId &id, Service &service, const ControllerInputs &inputs,
                TimePoint now, std::vector<ControllerAction> &actions) -> void;
+    [[nodiscard]] auto awaitsServers(Service &service, std::size_t candidateCount,
+                                     TimePoint now) const -> bool;
     [[nodiscard]] auto candidates(const ServiceId &id, const ControllerInputs &inputs,
                                   TimePoint now) const -> std::vector<OwnerCandidate>;
     [[nodiscard]] auto leaseEnd(const Range &range) const -> TimePoint;
--- a/include/figlanding/gateway/key_ownership.h
+++ b/include/figlanding/gateway/key_ownership.h
@@ -95,6 +95,9 @@
 {
     double baseLoadPerKey = 1e-4; ///< load that a key has without requests; spreads idle keys
     double tolerance = 1.35; ///< load above this multiple of a server's fair share is moved
+    /// Load for its capacity below which a server is left as it is: moves cost more than they bring.
+    double busyLoad = 10.0;
+    double idlePart = 0.3; ///< a server below this part of its fair share gets keys in any case
     std::uint32_t maxMoves = 8; ///< of one plan
 
     auto operator==(const KeyPlanOptions &) const -> bool = default;
@@ -109,8 +112,8 @@
 
 /// Moves keys from servers that are far above their fair share to those far below it.
 ///
-/// Answers a few hot keys, near each other, that together exceed one server: the range around
-/// them is cut by load, so that single keys can move apart.
+/// Answers a few hot keys, near each other, that together exceed one server: the shortest run of
+/// keys with the wanted load moves, so that hot keys move apart and few keys change hands.
 [[nodiscard]] auto planRebalance(const OwnershipTable &table,
                                  std::span<const OwnerCandidate> candidates,
                                  std::span<const float> loads, const KeyPlanOptions &options)
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -114,7 +114,7 @@
 struct SlotBrokerOptions
 {
     milliseconds assumedServiceTime{150}; ///< of a server without history
-    double serviceTimeWeight = 0.15; ///< of the newest service time in the average
+    double serviceTimeWeight = 0.08; ///< of the newest service time in the average
     double otherZoneCost = 1.1; ///< factor on the expected time in another zone
     milliseconds slownessLifetime{400}; ///< a load report counts for this long
     milliseconds firstPause{500}; ///< a server that lost a request rests for this long
@@ -162,7 +162,7 @@
         BrokeredServer info;
         ServiceId service;
         std::uint32_t running = 0;
-        double averageMs = 0.0; ///< 0: no history
+        double averageMs = 0.0; ///< at the usual speed; 0: no history
         double slowness = 1.0;
         TimePoint slownessAt;
         TimePoint pausedUntil;
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -89,6 +89,7 @@
     for (const auto &[id, table] : m_view.tables) {
         auto &service = m_services[id];
         service.rebalancedAt = now;
+        service.hadOwners = true;
         for (const auto &owned : table.ranges) {
             const auto free = owned.owner.server.empty();
             service.ranges.push_back({.owned = owned,
@@ -126,6 +127,7 @@
     const auto &record = std::get<AppendTable>(done);
     m_view.tables[record.service] = record.table;
     auto &service = m_services[record.service];
+    service.hadOwners = true;
     for (auto &range : service.ranges) {
         const auto *recorded = findRange(record.table, range.owned.keys.from);
         if (recorded == nullptr || recorded->fence != record.expectedEnd + 1) {
@@ -366,13 +368,14 @@
             return range.phase == Phase::Held && range.confirmed && !range.needsFence;
         });
     const auto loads = inputs.loads.find(id);
-    if (!calm || m_append || loads == inputs.loads.end()
-        || now - service.rebalancedAt < m_options.rebalanceInterval) {
+    if (!calm || m_append || now - service.rebalancedAt < m_options.rebalanceInterval) {
         return;
     }
     service.rebalancedAt = now;
-    const auto moves = planRebalance(tableOf(service), candidates(id, inputs, now), loads->second,
-                                     m_options.plan);
+    const auto known = loads == inputs.loads.end() ? std::span<const float>{}
+                                                   : std::span<const float>(loads->second);
+    const auto moves =
+        planRebalance(tableOf(service), candidates(id, inputs, now), known, m_options.plan);
     for (const auto &move : moves) {
         split(service, move.keys);
         for (auto &range : service.ranges) {
@@ -415,11 +418,31 @@
     return result;
 }
 
+// Servers announce themselves one after the other when all start at once. Keys given to the first
+// one would have to move again.
+auto KeyController::awaitsServers(Service &service, std::size_t candidateCount,
+                                  TimePoint now) const -> bool
+{
+    if (service.hadOwners || candidateCount == 0) {
+        return false;
+    }
+    service.firstCandidateAt = service.firstCandidateAt.value_or(now);
+    if (candidateCount != service.candidateCount) {
+        service.candidateCount = candidateCount;
+        service.candidatesChangedAt = now;
+    }
+    return now - service.candidatesChangedAt < m_options.firstOwnersPause
+        && now - *service.firstCandidateAt < m_options.firstOwnersLatest;
+}
+
 // Chooses the next owners of free ranges.
 auto KeyController::planFree(const ServiceId &id, Service &service, const ControllerInputs &inputs,
                              TimePoint now) -> void
 {
     const auto servers = candidates(id, inputs, now);
+    if (awaitsServers(service, servers.size(), now)) {
+        return;
+    }
     const auto isCandidate = [&](const ServerLife &life) {
         return std::any_of(servers.begin(), servers.end(),
                            [&](const OwnerCandidate &server) { return server.life == life; });
--- a/src/core/gateway/key_ownership.cpp
+++ b/src/core/gateway/key_ownership.cpp
@@ -104,23 +104,51 @@
     return keys;
 }
 
-// Returns the range of @p owner with the most load that still has more than one key or may move
-// as a whole.
-auto heaviestRange(const OwnershipTable &table, const LoadBook &book, const ServerLife &owner)
+// Returns the shortest run of keys within @p keys whose load reaches @p wanted, if there is one.
+auto shortestWithLoad(const LoadBook &book, const KeyRange &keys, double wanted)
     -> std::optional<KeyRange>
 {
     auto best = std::optional<KeyRange>{};
-    auto bestLoad = 0.0;
-    for (const auto &range : table.ranges) {
-        const auto load = range.owner == owner ? book.loadOf(range.keys) : 0.0;
-        if (load > bestLoad) {
-            best = range.keys;
-            bestLoad = load;
+    auto sum = 0.0;
+    auto from = keys.from;
+    for (auto key = keys.from; key <= keys.to; ++key) {
+        sum += book.loadOf(key);
+        while (from < key && sum - book.loadOf(from) >= wanted) {
+            sum -= book.loadOf(from);
+            ++from;
+        }
+        if (sum >= wanted && (!best || key - from < best->to - best->from)) {
+            best = KeyRange{from, key};
         }
     }
     return best;
 }
 
+// Returns the shortest run of keys of @p owner with the wanted load; if no range has that much,
+// the range with the most load.
+auto keysToMove(const OwnershipTable &table, const LoadBook &book, const ServerLife &owner,
+                double wanted) -> std::optional<KeyRange>
+{
+    auto best = std::optional<KeyRange>{};
+    auto heaviest = std::optional<KeyRange>{};
+    auto heaviestLoad = 0.0;
+    for (const auto &range : table.ranges) {
+        if (range.owner != owner) {
+            continue;
+        }
+        const auto load = book.loadOf(range.keys);
+        if (load > heaviestLoad) {
+            heaviest = range.keys;
+            heaviestLoad = load;
+        }
+        const auto run = load >= wanted ? shortestWithLoad(book, range.keys, wanted) : std::nullopt;
+        if (run && (!best || run->size() < best->size())) {
+            best = run;
+        }
+    }
+    return best ? best : heaviest;
+}
+
 auto withOwner(OwnershipTable table, const PlannedMove &move) -> OwnershipTable
 {
     table = splitAround(std::move(table), move.keys);
@@ -251,24 +279,25 @@
     while (moves.size() < options.maxMoves) {
         auto &from = book.mostLoaded();
         auto &to = book.leastLoaded();
+        const auto idle = to.relative() < fair * options.idlePart;
+        const auto busy = from.relative() > std::max(options.busyLoad, fair * options.tolerance);
         const auto excess = from.load - fair * from.candidate->capacity;
         const auto room = fair * to.candidate->capacity - to.load;
-        if (from.relative() < fair * options.tolerance || room <= 0.0 || to.candidate->cold) {
+        if ((!idle && !busy) || excess <= 0.0 || room <= 0.0 || to.candidate->cold) {
             break;
         }
-        const auto heaviest = heaviestRange(planned, book, from.candidate->life);
-        if (!heaviest) {
+        const auto wanted = std::min(excess, room);
+        const auto part = keysToMove(planned, book, from.candidate->life, wanted);
+        if (!part) {
             break;
         }
-        const auto part = frontWithLoad(book, *heaviest, std::min(excess, room));
-        const auto load = book.loadOf(part);
-        if (load > std::min(excess, room) * options.tolerance && from.relative() <= (to.load + load)
-                / to.candidate->capacity) {
-            break; // one key alone: moving it would only move the excess
+        const auto load = book.loadOf(*part);
+        if ((to.load + load) / to.candidate->capacity >= from.relative()) {
+            break; // a key that is too hot for the target as well
         }
         from.load -= load;
         to.load += load;
-        moves.push_back({.keys = part, .to = to.candidate->life});
+        moves.push_back({.keys = *part, .to = to.candidate->life});
         planned = withOwner(std::move(planned), moves.back());
     }
     return moves;
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -108,7 +108,9 @@
     case SlotEnd::Served:
     case SlotEnd::Failed: {
         server.losses = 0;
-        const auto sample = toMs(result.elapsed);
+        // What the server would have taken at its usual speed.
+        const auto sample =
+            toMs(result.elapsed) / std::max(1.0, result.load ? result.load->slowness : 1.0);
         server.averageMs = server.averageMs == 0.0
             ? sample
             : server.averageMs + m_options.serviceTimeWeight * (sample - server.averageMs);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -70,7 +70,8 @@
                   .onEnd = [this](const RequestRecord &record) { m_requestLog.add(record); }})
         , m_duty(loop, m_store, m_orders,
                  {.controller = {.self = m_settings.vm, .incarnation = m_incarnation},
-                  .topic = Platform::fleetTopic})
+                  .topic = Platform::fleetTopic},
+                 [this] { m_progressTimer.startOnce(progressDelay); })
         , m_operatorFollower(loop, m_store,
                              {.topic = Platform::operatorTopic, .wait = milliseconds(1200)},
                              handlersOf("configuration", m_operatorLost,
@@ -89,6 +90,7 @@
         , m_tickTimer(loop, [this] { tick(); })
         , m_heartbeatTimer(loop, [this] { sendHeartbeat(); })
         , m_controlTimer(loop, [this] { control(); })
+        , m_progressTimer(loop, [this] { control(); })
     { }
     Gateway(const Gateway &) = delete;
     auto operator=(const Gateway &) -> Gateway & = delete;
@@ -156,6 +158,7 @@
     static constexpr milliseconds serverSilence{600};
     static constexpr milliseconds tickInterval{25};
     static constexpr milliseconds controlInterval{100};
+    static constexpr milliseconds progressDelay{4}; ///< orders that end together count as one
     static constexpr double retryPart = 0.7; ///< of the allowed retries, for arrivals not counted
     static constexpr double expectedVms = 10.0;
     /// The balancer asks once a second and takes a VM out after two misses.
@@ -540,6 +543,7 @@
     Timer m_tickTimer;
     Timer m_heartbeatTimer;
     Timer m_controlTimer;
+    Timer m_progressTimer; ///< a control step soon after an order or a record has ended
 };
 
 } // namespace figlanding
--- a/src/gateway/key_duty.h
+++ b/src/gateway/key_duty.h
@@ -40,11 +40,14 @@
 class KeyDuty
 {
 public:
-    KeyDuty(EventLoop &loop, StoreType &store, Orders &orders, KeyDutyOptions options)
+    /// @param onProgress called when there may be something to decide before the next tick
+    KeyDuty(EventLoop &loop, StoreType &store, Orders &orders, KeyDutyOptions options,
+            std::function<void()> onProgress)
         : m_loop(loop)
         , m_store(store)
         , m_orders(orders)
         , m_options(std::move(options))
+        , m_onProgress(std::move(onProgress))
         , m_controller(m_options.controller)
         , m_joinTimer(loop, [this] { join(); })
     { }
@@ -128,6 +131,7 @@
                 const auto now = m_loop.now();
                 if (offset) {
                     m_controller.onAppend(AppendEnd::Appended, offset.value(), now);
+                    m_onProgress();
                     return;
                 }
                 const auto conflict = offset.error().code == ErrorCode::VersionConflict;
@@ -166,6 +170,7 @@
                          [this, order](OrderEnd end, const std::string &token) {
                              logFailure("release", order.from, order.keys, order.fence, end);
                              m_controller.onRelease(order.id, end, token, m_loop.now());
+                             m_onProgress();
                          });
     }
 
@@ -187,6 +192,7 @@
     StoreType &m_store;
     Orders &m_orders;
     KeyDutyOptions m_options;
+    std::function<void()> m_onProgress;
     KeyController m_controller;
     Timer m_joinTimer;
     bool m_left = false;
