Let fresh requests go before returning ones; follow hot keys within half a second

Cause: while a key is hot, refused callers come back and compete with fresh requests that could still be on time; loads were averaged over 4 s and moves planned once a second. Change: a caller's spent time is read off its shrinking deadline; loads are averaged over 2 s and planned twice a second; waits are estimated from service times with all slow phases.

--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -136,7 +136,7 @@
     milliseconds controllerLease{6000}; ///< renewals go on for this long without the store
     milliseconds unreachableAfter{2500}; ///< a server without answers for this long is not renewed
     milliseconds silentAnnouncements{2000}; ///< without these a closed port means that it ended
-    milliseconds rebalanceInterval{1000};
+    milliseconds rebalanceInterval{500};
     /// The first owners are chosen when no server has joined for this long ...
     milliseconds firstOwnersPause{500};
     milliseconds firstOwnersLatest{1500}; ///< ... or this long after the first one
--- a/include/figlanding/gateway/key_ownership.h
+++ b/include/figlanding/gateway/key_ownership.h
@@ -96,7 +96,7 @@
     double baseLoadPerKey = 1e-4; ///< load that a key has without requests; spreads idle keys
     double tolerance = 1.35; ///< load above this multiple of a server's fair share is moved
     /// Load for its capacity below which a server is left as it is: moves cost more than they bring.
-    double busyLoad = 10.0;
+    double busyLoad = 5.0;
     double idlePart = 0.3; ///< a server below this part of its fair share gets keys in any case
     std::uint32_t maxMoves = 8; ///< of one plan
 
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -121,7 +121,7 @@
     milliseconds longestPause{3000};
     milliseconds declinePause{60}; ///< a server that declined rests for this long
     milliseconds ticketGrace{500}; ///< a slot is free this long after its deadline
-    double minTimeShare = 0.4; ///< share of the average service time a request must have left
+    double minTimeShare = 0.6; ///< share of the average service time a request must have left
 
     auto operator==(const SlotBrokerOptions &) const -> bool = default;
 };
@@ -163,6 +163,7 @@
         ServiceId service;
         std::uint32_t running = 0;
         double averageMs = 0.0; ///< at the usual speed; 0: no history
+        double grossMs = 0.0; ///< average with all slow phases
         double slowness = 1.0;
         TimePoint slownessAt;
         TimePoint pausedUntil;
@@ -177,6 +178,7 @@
     };
 
     [[nodiscard]] auto mayTake(const Server &server, TimePoint now) const -> bool;
+    [[nodiscard]] auto longRunMs(const Server &server) const -> double;
     [[nodiscard]] auto expectedMs(const Server &server, TimePoint now) const -> double;
     [[nodiscard]] auto choose(const SlotRequest &request, TimePoint now) -> Server *;
     [[nodiscard]] auto expectedWait(const SlotRequest &request, TimePoint now) const
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -111,9 +111,12 @@
         // What the server would have taken at its usual speed.
         const auto sample =
             toMs(result.elapsed) / std::max(1.0, result.load ? result.load->slowness : 1.0);
-        server.averageMs = server.averageMs == 0.0
-            ? sample
-            : server.averageMs + m_options.serviceTimeWeight * (sample - server.averageMs);
+        const auto update = [&](double &average, double value) {
+            average = average == 0.0 ? value
+                                     : average + m_options.serviceTimeWeight * (value - average);
+        };
+        update(server.averageMs, sample);
+        update(server.grossMs, toMs(result.elapsed));
         break;
     }
     case SlotEnd::Declined:
@@ -150,6 +153,11 @@
     return true;
 }
 
+auto SlotBroker::longRunMs(const Server &server) const -> double
+{
+    return server.grossMs > 0.0 ? server.grossMs : toMs(m_options.assumedServiceTime);
+}
+
 auto SlotBroker::expectedMs(const Server &server, TimePoint now) const -> double
 {
     const auto usual =
@@ -189,7 +197,7 @@
     for (const auto &[id, server] : m_servers) {
         if (server.service == request.service && server.averageMs > 0.0
             && (request.owner.empty() || id == request.owner)) {
-            sum += server.averageMs;
+            sum += longRunMs(server);
             ++count;
         }
     }
@@ -213,7 +221,7 @@
             continue;
         }
         free = free || mayTake(server, now);
-        const auto warm = server.info.slots / expectedMs(server, now);
+        const auto warm = server.info.slots / longRunMs(server);
         const auto cold = server.info.coldRequestsPerSecond / 1000.0;
         perMs += server.info.coldUntil > now ? std::min(warm, cold) : warm;
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -472,8 +472,8 @@
     // Loads are averages over some seconds, so that planning follows hot keys but not noise.
     auto decayLoads() -> void
     {
-        constexpr auto window = seconds(4);
-        constexpr auto step = milliseconds(500);
+        constexpr auto window = seconds(2);
+        constexpr auto step = milliseconds(200);
         const auto now = m_loop.now();
         if (!m_duty.active() || now - m_decayedAt < step) {
             return;
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "figlanding/gateway/caller_patience.h"
 #include "figlanding/gateway/caller_protocol.h"
 #include "figlanding/gateway/desired_state.h"
 #include "figlanding/gateway/server_registry.h"
@@ -183,7 +184,8 @@
         const auto timeout =
             std::min(route.timeout, running.caller.deadline.value_or(route.timeout));
         running.deadline = running.receivedAt + timeout - m_options.answerMargin;
-        running.objectiveAt = running.receivedAt + route.latencyObjective;
+        running.objectiveAt =
+            running.receivedAt + route.latencyObjective - m_patience.spent(route.id, running.caller);
         running.service = pickService(route, m_uniform(m_random));
         running.record.service = running.service;
         return admitTeam(running);
@@ -496,6 +498,7 @@
     RequestPathHandlers m_handlers;
     RandomEngine m_random;
     std::uniform_real_distribution<double> m_uniform{0.0, 1.0};
+    CallerPatience m_patience;
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<std::uint64_t, Running> m_requests;
     std::uint64_t m_nextNumber = 1;
