Read each topic on one VM at a time and pass the records on

Ruled out: longer pauses on every VM; the bounds on leaving servers and configuration are 2 s. Change: the VM of the first rank reads and passes records on with their offsets; the others read only when nothing came in time, when an offset is missing, or when a heartbeat names a later end. The controller passes its own records on at once.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -3,6 +3,7 @@
 #include "figlanding/error.h"
 #include "figlanding/gateway/key_ownership.h"
 #include "figlanding/gateway/slot_broker.h"
+#include "figlanding/gateway/store.h"
 #include "figlanding/gateway/team_limits.h"
 
 #include <map>
@@ -30,7 +31,7 @@
 struct Heartbeat
 {
     bool leaving = false;
-    LogOffset ownershipOffset = 0; ///< of the newest ownership record that the sender has read
+    std::map<std::string, LogOffset> topicEnds; ///< how far the sender has read each topic
     std::map<TeamId, TeamUse> uses; ///< of the teams' rates
     std::vector<KeyCount> keys;
     /// Average service times of the servers whose slots the sender hands out.
@@ -80,7 +81,19 @@
     auto operator==(const SlotDone &) const -> bool = default;
 };
 
-using FleetPayload = std::variant<Heartbeat, SlotAsk, SlotAnswer, SlotDone>;
+/// Records that the sender has read from the store, for members that have not.
+struct TopicUpdate
+{
+    std::string topic;
+    LogOffset from = 0; ///< offset of the first record
+    LogOffset next = 0; ///< offset after the last record
+    /// All records between the two offsets; none, if they are too large to be passed on.
+    std::vector<KeyedRecord> records;
+
+    auto operator==(const TopicUpdate &) const -> bool = default;
+};
+
+using FleetPayload = std::variant<Heartbeat, SlotAsk, SlotAnswer, SlotDone, TopicUpdate>;
 
 /// A datagram.
 struct FleetMessage
--- a/include/figlanding/gateway/fleet_view.h
+++ b/include/figlanding/gateway/fleet_view.h
@@ -22,7 +22,6 @@
     SocketAddress address; ///< for messages between VMs
     TimePoint heardAt; ///< time of its last message; the epoch if it was never heard
     bool leaving = false;
-    LogOffset ownershipOffset = 0; ///< of the newest ownership record that it has read
 
     auto operator==(const FleetMember &) const -> bool = default;
 };
@@ -57,6 +56,8 @@
     /// Returns the VM responsible for @p subject: the one with the highest hash of both names
     /// (rendezvous hashing) among the VMs that are alive and stay.
     [[nodiscard]] auto home(std::string_view subject, TimePoint now) const -> VmId;
+    /// Returns how many living VMs stand before this one for a duty that one VM at a time does.
+    [[nodiscard]] auto rankOf(std::string_view subject, TimePoint now) const -> std::size_t;
     auto setLeaving() -> void
     {
         m_leaving = true;
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -13,7 +13,7 @@
 
 using nlohmann::json;
 
-enum class Kind : int { Heartbeat = 1, Ask = 2, Answer = 3, Done = 4 };
+enum class Kind : int { Heartbeat = 1, Ask = 2, Answer = 3, Done = 4, Topic = 5 };
 
 auto toJson(const Heartbeat &message) -> json
 {
@@ -31,7 +31,7 @@
     }
     return {static_cast<int>(Kind::Heartbeat),
             message.leaving,
-            message.ownershipOffset,
+            message.topicEnds,
             std::move(uses),
             std::move(keys),
             std::move(times)};
@@ -65,10 +65,24 @@
     return result;
 }
 
+auto toJson(const TopicUpdate &message) -> json
+{
+    auto records = json::array();
+    for (const auto &record : message.records) {
+        auto row = json{record.key};
+        if (record.value) {
+            row.push_back(json::binary({record.value->begin(), record.value->end()}));
+        }
+        records.push_back(std::move(row));
+    }
+    return {static_cast<int>(Kind::Topic), message.topic, message.from, message.next,
+            std::move(records)};
+}
+
 auto heartbeatFrom(const json &fields) -> Heartbeat
 {
     auto message = Heartbeat{.leaving = fields.at(1).get<bool>(),
-                             .ownershipOffset = fields.at(2).get<LogOffset>()};
+                             .topicEnds = fields.at(2).get<std::map<std::string, LogOffset>>()};
     for (const auto &row : fields.at(3)) {
         message.uses.emplace(TeamId(row.at(0).get<std::string>()),
                              TeamUse{.admitted = row.at(1).get<std::uint64_t>(),
@@ -130,6 +144,23 @@
     return message;
 }
 
+auto topicFrom(const json &fields) -> TopicUpdate
+{
+    auto message = TopicUpdate{.topic = fields.at(1).get<std::string>(),
+                               .from = fields.at(2).get<LogOffset>(),
+                               .next = fields.at(3).get<LogOffset>()};
+    auto offset = message.from;
+    for (const auto &row : fields.at(4)) {
+        auto record = KeyedRecord{.offset = offset++, .key = row.at(0).get<std::string>()};
+        if (row.size() > 1) {
+            const auto &bytes = row.at(1).get_binary();
+            record.value = std::string(bytes.begin(), bytes.end());
+        }
+        message.records.push_back(std::move(record));
+    }
+    return message;
+}
+
 auto payloadFrom(const json &fields) -> Result<FleetPayload>
 {
     switch (static_cast<Kind>(fields.at(0).get<int>())) {
@@ -141,6 +172,8 @@
         return FleetPayload(answerFrom(fields));
     case Kind::Done:
         return FleetPayload(doneFrom(fields));
+    case Kind::Topic:
+        return FleetPayload(topicFrom(fields));
     }
     return fail(ErrorCode::InvalidValue, "unknown kind of datagram");
 }
--- a/src/core/gateway/fleet_view.cpp
+++ b/src/core/gateway/fleet_view.cpp
@@ -63,6 +63,16 @@
     return count;
 }
 
+auto FleetView::rankOf(std::string_view subject, TimePoint now) const -> std::size_t
+{
+    const auto own = m_leaving ? std::uint64_t{0} : rank(subject, m_self);
+    auto before = std::size_t{0};
+    for (const auto &[vm, member] : m_members) {
+        before += isAlive(member, now) && !member.leaving && rank(subject, vm) > own ? 1 : 0;
+    }
+    return before;
+}
+
 auto FleetView::home(std::string_view subject, TimePoint now) const -> VmId
 {
     auto best = m_self;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/request_path.h"
 #include "io/random_bytes.h"
 
+#include <array>
 #include <cmath>
 #include <memory>
 #include <random>
@@ -71,7 +72,9 @@
         , m_duty(loop, m_store, m_orders,
                  {.controller = {.self = m_settings.vm, .incarnation = m_incarnation},
                   .topic = Platform::fleetTopic},
-                 [this] { m_progressTimer.startOnce(progressDelay); })
+                 {.onProgress = [this] { m_progressTimer.startOnce(progressDelay); },
+                  .onAppended =
+                      [this](const KeyedRecord &record) { m_fleetFollower.onAppended(record); }})
         , m_operatorFollower(loop, m_store,
                              {.topic = Platform::operatorTopic, .wait = milliseconds(1200)},
                              handlersOf("configuration", m_operatorLost,
@@ -208,6 +211,11 @@
                             logEvent(LogLevel::Warning, "store-lost",
                                      {{"topic", name}, {"error", describe(error)}});
                         }
+                    },
+                .relay = [this](const TopicUpdate &update) { m_link->sendToAll(update); },
+                .rank =
+                    [this](const std::string &topic) {
+                        return m_view.rankOf(topic, m_loop.now());
                     }};
     }
 
@@ -388,8 +396,7 @@
                          .incarnation = message.incarnation,
                          .address = delivery.from,
                          .heardAt = now,
-                         .leaving = heartbeat->leaving,
-                         .ownershipOffset = heartbeat->ownershipOffset});
+                         .leaving = heartbeat->leaving});
             m_limits.report(message.from, message.incarnation, heartbeat->uses, now);
             for (const auto &count : heartbeat->keys) {
                 addLoad(count.service, count.key, count.requests);
@@ -397,19 +404,42 @@
             for (const auto &[server, time] : heartbeat->serviceTimes) {
                 m_serviceTimes[server] = time;
             }
-            if (heartbeat->ownershipOffset > m_ownership.end) {
-                m_fleetFollower.hurry();
+            for (auto *follower : followers()) {
+                const auto end = heartbeat->topicEnds.find(follower->topic());
+                if (end != heartbeat->topicEnds.end() && end->second > follower->end()) {
+                    follower->hurry();
+                }
+            }
+            return;
+        }
+        if (const auto *update = std::get_if<TopicUpdate>(&message.payload)) {
+            for (auto *follower : followers()) {
+                if (follower->topic() == update->topic) {
+                    follower->onRelayed(*update);
+                }
             }
             return;
         }
         m_slots.onMessage(message.from, message.payload, now);
     }
 
+    [[nodiscard]] auto followers() -> std::array<Follower *, 3>
+    {
+        return {&m_operatorFollower, &m_serverFollower, &m_fleetFollower};
+    }
+
+    // A busy topic is always a little ahead at its reader, so only the others are named.
+    [[nodiscard]] auto topicEnds() -> std::map<std::string, LogOffset>
+    {
+        return {{m_operatorFollower.topic(), m_operatorFollower.end()},
+                {m_fleetFollower.topic(), m_fleetFollower.end()}};
+    }
+
     auto sendHeartbeat() -> void
     {
         const auto now = m_loop.now();
         auto heartbeat = Heartbeat{.leaving = m_leaving,
-                                   .ownershipOffset = m_ownership.end,
+                                   .topicEnds = topicEnds(),
                                    .uses = m_limits.uses(now),
                                    .serviceTimes = m_slots.serviceTimes()};
         for (const auto &[key, requests] : std::exchange(m_keyCounts, {})) {
--- a/src/gateway/key_duty.h
+++ b/src/gateway/key_duty.h
@@ -35,19 +35,26 @@
     milliseconds memberLifetime{2200}; ///< the duty passes on after this silence
 };
 
+/// Events of KeyDuty.
+struct KeyDutyHandlers
+{
+    /// There may be something to decide before the next tick.
+    std::function<void()> onProgress;
+    std::function<void(const KeyedRecord &)> onAppended;
+};
+
 /// The controller's link to the store and to the servers.
 template <Store StoreType, ServerOrderSender Orders>
 class KeyDuty
 {
 public:
-    /// @param onProgress called when there may be something to decide before the next tick
     KeyDuty(EventLoop &loop, StoreType &store, Orders &orders, KeyDutyOptions options,
-            std::function<void()> onProgress)
+            KeyDutyHandlers handlers)
         : m_loop(loop)
         , m_store(store)
         , m_orders(orders)
         , m_options(std::move(options))
-        , m_onProgress(std::move(onProgress))
+        , m_handlers(std::move(handlers))
         , m_controller(m_options.controller)
         , m_joinTimer(loop, [this] { join(); })
     { }
@@ -121,17 +128,19 @@
 
     auto append(const FleetRecord &record, LogOffset expectedEnd) -> void
     {
-        auto encoded = encodeFleetRecord(record);
+        const auto encoded = encodeFleetRecord(record);
         m_store.append(
             {.topic = m_options.topic,
-             .key = std::move(encoded.key),
-             .value = std::move(encoded.value),
+             .key = encoded.key,
+             .value = encoded.value,
              .expectedEnd = expectedEnd},
-            [this](Settled<LogOffset> offset) {
+            [this, encoded](Settled<LogOffset> offset) {
                 const auto now = m_loop.now();
                 if (offset) {
                     m_controller.onAppend(AppendEnd::Appended, offset.value(), now);
-                    m_onProgress();
+                    m_handlers.onAppended(
+                        {.offset = offset.value(), .key = encoded.key, .value = encoded.value});
+                    m_handlers.onProgress();
                     return;
                 }
                 const auto conflict = offset.error().code == ErrorCode::VersionConflict;
@@ -170,7 +179,7 @@
                          [this, order](OrderEnd end, const std::string &token) {
                              logFailure("release", order.from, order.keys, order.fence, end);
                              m_controller.onRelease(order.id, end, token, m_loop.now());
-                             m_onProgress();
+                             m_handlers.onProgress();
                          });
     }
 
@@ -192,7 +201,7 @@
     StoreType &m_store;
     Orders &m_orders;
     KeyDutyOptions m_options;
-    std::function<void()> m_onProgress;
+    KeyDutyHandlers m_handlers;
     KeyController m_controller;
     Timer m_joinTimer;
     bool m_left = false;
