Settle conflicts of appends that are already read; give no keys to servers that stay silent

Cause 1: a controller that met a conflict waited for the topic to advance, although its follower had already read past the conflict. Cause 2: the end of an append of a lost claim was taken for the end of the present one. Cause 3: keys freed from a silent server were given to the same server again, since it had the least load. Change: appends are named by the end that they expect; a conflict settles as soon as the view is past it; a server whose lease ran out in silence gets no keys for 5 s; load sums are prefix sums.

--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -135,6 +135,7 @@
     milliseconds margin{200}; ///< for timers of this VM that fire late
     milliseconds controllerLease{6000}; ///< renewals go on for this long without the store
     milliseconds unreachableAfter{2500}; ///< a server without answers for this long is not renewed
+    milliseconds avoidAfter{5000}; ///< a server whose lease ran out in silence gets no keys so long
     milliseconds silentAnnouncements{2000}; ///< without these a closed port means that it ended
     milliseconds rebalanceInterval{500};
     /// The first owners are chosen when no server has joined for this long ...
@@ -157,9 +158,9 @@
     auto onStoreContact(TimePoint sentAt) -> void;
     /// Sets whether the store's group names this VM.
     auto setDuty(bool duty) -> void;
-    /// Takes the end of the append under way.
-    /// @param offset of the record, if it was appended
-    auto onAppend(AppendEnd end, LogOffset offset, TimePoint now) -> void;
+    /// Takes the end of an append.
+    /// @param expectedEnd names the append; the record's offset, if it was appended
+    auto onAppend(AppendEnd end, LogOffset expectedEnd, TimePoint now) -> void;
     auto onGrant(std::uint64_t id, OrderEnd end, TimePoint now) -> void;
     /// @param handOver token of the released range, if the server gave one
     auto onRelease(std::uint64_t id, OrderEnd end, const std::string &handOver, TimePoint now)
@@ -210,7 +211,8 @@
     using Append = std::variant<AppendClaim, AppendTable>;
 
     auto adopt(TimePoint now) -> void;
-    auto adoptPending(TimePoint now) -> void;
+    auto settleConflict(TimePoint now) -> void;
+    [[nodiscard]] auto holdsClaim() const -> bool;
     auto learnAddresses(const ServerRegistry &registry) -> void;
     [[nodiscard]] auto addressOf(const ServerLife &life) const -> std::optional<SocketAddress>;
     auto split(Service &service, const KeyRange &keys) -> void;
@@ -247,12 +249,12 @@
     TimePoint m_storeContactAt;
     TimePoint m_previousRenewsUntil; ///< the previous holder of the claim may renew until then
     bool m_previousHolder = false;
-    TimePoint m_claimedAt;
     std::optional<Append> m_append; ///< under way, or of unknown effect
     bool m_appendUnderWay = false;
     bool m_awaitsView = false; ///< the topic has moved on
     std::map<ServiceId, Service> m_services;
     std::map<std::uint64_t, Order> m_orders;
+    std::map<ServerLife, TimePoint> m_avoidedUntil;
     std::map<ServerLife, SocketAddress> m_addresses; ///< last known, also of servers that left
     std::uint64_t m_nextOrder = 1;
 };
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -45,17 +45,21 @@
     m_duty = duty;
 }
 
+auto KeyController::holdsClaim() const -> bool
+{
+    const auto &claim = m_view.claim;
+    return claim.vm == m_options.self && claim.incarnation == m_options.incarnation
+        && claim.term > 0;
+}
+
 auto KeyController::onView(const OwnershipView &view, TimePoint now) -> void
 {
     if (m_viewed && view.end < m_view.end) {
         return;
     }
-    const auto advanced = !m_viewed || view.end > m_view.end;
     m_view = view;
     m_viewed = true;
-    const auto mine = view.claim.vm == m_options.self
-        && view.claim.incarnation == m_options.incarnation && view.claim.term > 0;
-    if (m_active && !mine) {
+    if (m_active && !holdsClaim()) {
         m_active = false;
         m_append.reset();
         m_awaitsView = false;
@@ -63,21 +67,29 @@
         m_orders.clear();
         return;
     }
-    if (m_awaitsView && advanced) {
-        m_awaitsView = false;
-        if (mine) {
-            adoptPending(now);
-        }
-        m_append.reset();
-    }
+    settleConflict(now);
 }
 
-// An append that met a conflict may be the one that was appended before, without an answer.
-auto KeyController::adoptPending(TimePoint now) -> void
+// The record that stands where an append was to go may be that append itself, done without an
+// answer. The topic tells which one it is, as soon as it is read up to there.
+auto KeyController::settleConflict(TimePoint now) -> void
 {
-    if (!m_active) {
-        m_active = true;
-        m_claimedAt = now;
+    if (!m_awaitsView || !m_append) {
+        return;
+    }
+    const auto expectedEnd =
+        std::visit([](const auto &append) { return append.expectedEnd; }, *m_append);
+    if (m_view.end <= expectedEnd) {
+        return;
+    }
+    m_awaitsView = false;
+    m_append.reset();
+    if (!holdsClaim()) {
+        return;
+    }
+    if (!std::exchange(m_active, true)) {
+        m_previousHolder = true; // the claim may have replaced another one
+        m_previousRenewsUntil = now + m_options.controllerLease;
     }
     adopt(now);
 }
@@ -100,27 +112,30 @@
     }
 }
 
-auto KeyController::onAppend(AppendEnd end, LogOffset offset, TimePoint now) -> void
+auto KeyController::onAppend(AppendEnd end, LogOffset expectedEnd, TimePoint now) -> void
 {
-    m_appendUnderWay = false;
-    if (!m_append) {
-        return;
+    const auto mine = m_append
+        && std::visit([](const auto &append) { return append.expectedEnd; }, *m_append)
+            == expectedEnd;
+    if (!mine) {
+        return; // of a claim that has been lost since
     }
+    m_appendUnderWay = false;
     if (end == AppendEnd::Unknown) {
         return; // tick() sends it again: the same condition lets it take effect once at most
     }
     if (end == AppendEnd::Conflict) {
         m_awaitsView = true;
+        settleConflict(now);
         return;
     }
     const auto done = *std::exchange(m_append, std::nullopt);
-    m_view.end = offset + 1;
+    m_view.end = std::max(m_view.end, expectedEnd + 1);
     if (const auto *claim = std::get_if<AppendClaim>(&done)) {
         m_previousHolder = m_view.claim.term > 0;
         m_previousRenewsUntil = now + m_options.controllerLease;
         m_view.claim = claim->claim;
         m_active = true;
-        m_claimedAt = now;
         adopt(now);
         return;
     }
@@ -303,7 +318,12 @@
         if (range.phase == Phase::Free) {
             continue;
         }
-        if (hasEnded(range, inputs, now) || (!range.underWay && now >= leaseEnd(range))) {
+        const auto ended = hasEnded(range, inputs, now);
+        const auto ranOut = !range.underWay && now >= leaseEnd(range);
+        if (ranOut && !ended) {
+            m_avoidedUntil[range.owned.owner] = now + m_options.avoidAfter;
+        }
+        if (ended || ranOut) {
             range.phase = Phase::Free;
             range.owned.owner = {};
             range.owned.handOver.clear();
@@ -404,14 +424,17 @@
     constexpr auto usualMs = 150.0; // of a server without a known service time
     auto result = std::vector<OwnerCandidate>{};
     for (const auto &[name, server] : inputs.registry.servers()) {
-        if (server.entry.service != id || !inputs.registry.takesWork(server)) {
+        const auto life = ServerLife{.server = name, .bornUnixMs = server.entry.bornUnixMs};
+        const auto avoided = m_avoidedUntil.find(life);
+        const auto silent = avoided != m_avoidedUntil.end() && avoided->second > now;
+        if (server.entry.service != id || !inputs.registry.takesWork(server) || silent) {
             continue;
         }
         const auto time = inputs.serviceTimes.find(name);
         const auto ms = time == inputs.serviceTimes.end()
             ? usualMs
             : std::max(1.0, static_cast<double>(time->second.count()));
-        result.push_back({.life = {.server = name, .bornUnixMs = server.entry.bornUnixMs},
+        result.push_back({.life = life,
                           .capacity = server.entry.slots * usualMs / ms,
                           .cold = server.coldUntil > now});
     }
@@ -440,7 +463,9 @@
                              TimePoint now) -> void
 {
     const auto servers = candidates(id, inputs, now);
-    if (awaitsServers(service, servers.size(), now)) {
+    const auto anyFree = std::any_of(service.ranges.begin(), service.ranges.end(),
+                                     [](const Range &range) { return range.phase == Phase::Free; });
+    if (!anyFree || awaitsServers(service, servers.size(), now)) {
         return;
     }
     const auto isCandidate = [&](const ServerLife &life) {
--- a/src/core/gateway/key_ownership.cpp
+++ b/src/core/gateway/key_ownership.cpp
@@ -19,6 +19,13 @@
         : m_loads(loads)
         , m_options(options)
     {
+        if (!loads.empty()) {
+            m_sums.reserve(shardKeyCount + 1);
+            m_sums.push_back(0.0);
+            for (const auto load : loads) {
+                m_sums.push_back(m_sums.back() + load);
+            }
+        }
         for (const auto &candidate : candidates) {
             m_rows.push_back({.candidate = &candidate, .load = 0.0});
         }
@@ -47,11 +54,8 @@
     }
     [[nodiscard]] auto loadOf(const KeyRange &keys) const -> double
     {
-        auto sum = 0.0;
-        for (auto key = keys.from; key <= keys.to; ++key) {
-            sum += loadOf(key);
-        }
-        return sum;
+        const auto known = m_sums.empty() ? 0.0 : m_sums[keys.to + 1] - m_sums[keys.from];
+        return known + m_options.baseLoadPerKey * keys.size();
     }
     auto find(const ServerLife &life) -> Row *
     {
@@ -97,6 +101,7 @@
 
 private:
     std::span<const float> m_loads;
+    std::vector<double> m_sums; ///< of the loads of all keys before each key
     const KeyPlanOptions &m_options;
     std::vector<Row> m_rows;
 };
--- a/src/gateway/key_duty.h
+++ b/src/gateway/key_duty.h
@@ -134,10 +134,10 @@
              .key = encoded.key,
              .value = encoded.value,
              .expectedEnd = expectedEnd},
-            [this, encoded](Settled<LogOffset> offset) {
+            [this, encoded, expectedEnd](Settled<LogOffset> offset) {
                 const auto now = m_loop.now();
                 if (offset) {
-                    m_controller.onAppend(AppendEnd::Appended, offset.value(), now);
+                    m_controller.onAppend(AppendEnd::Appended, expectedEnd, now);
                     m_handlers.onAppended(
                         {.offset = offset.value(), .key = encoded.key, .value = encoded.value});
                     m_handlers.onProgress();
@@ -146,7 +146,8 @@
                 const auto conflict = offset.error().code == ErrorCode::VersionConflict;
                 logEvent(LogLevel::Info, "ownership-append-failed",
                          {{"error", describe(offset.error())}});
-                m_controller.onAppend(conflict ? AppendEnd::Conflict : AppendEnd::Unknown, 0, now);
+                m_controller.onAppend(conflict ? AppendEnd::Conflict : AppendEnd::Unknown, expectedEnd,
+                                      now);
             });
     }
 
