Count lost requests by zone; ask another VM when a group's VM does not answer

One range that could not move kept all others from moving. Ruled out: processor time (0.015 of 0.2 cores), store outage (over at 23.5 s). Change: a VM that gave no answer is not asked for 1.5 s; another VM hands out the slots meanwhile; a lost request rests its server for the asker's zone, and for all when two zones agree; ranges that cannot move are left out of the plan instead of ending it.

--- a/include/figlanding/gateway/fleet_view.h
+++ b/include/figlanding/gateway/fleet_view.h
@@ -5,6 +5,7 @@
 #include "figlanding/objects.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,7 +56,9 @@
     [[nodiscard]] auto aliveCount(TimePoint now) const -> std::size_t;
     /// Returns the VM responsible for @p subject: the one with the highest hash of both names
     /// (rendezvous hashing) among the VMs that are alive and stay.
-    [[nodiscard]] auto home(std::string_view subject, TimePoint now) const -> VmId;
+    /// @param excluded VMs that are not considered
+    [[nodiscard]] auto home(std::string_view subject, TimePoint now,
+                            const std::set<VmId> &excluded = {}) const -> VmId;
     /// Returns how many living VMs stand before this one for a duty that one VM at a time does.
     [[nodiscard]] auto rankOf(std::string_view subject, TimePoint now) const -> std::size_t;
     auto setLeaving() -> void
--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -221,6 +221,7 @@
     auto freeLost(Service &service, const ControllerInputs &inputs, TimePoint now) -> void;
     [[nodiscard]] auto hasEnded(const Range &range, const ControllerInputs &inputs,
                                 TimePoint now) const -> bool;
+    [[nodiscard]] static auto isMovable(const Range &range) -> bool;
     auto releaseLeaving(const ServiceId &id, Service &service, const ControllerInputs &inputs,
                         std::vector<ControllerAction> &actions) -> void;
     auto rebalance(const ServiceId &id, Service &service, const ControllerInputs &inputs,
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -160,6 +160,14 @@
     [[nodiscard]] auto serviceTimes() const -> std::map<BackendServerId, milliseconds>;
 
 private:
+    // Requests of one zone's VMs that were lost at a server. VMs of another zone may reach it.
+    struct Trouble
+    {
+        TimePoint pausedUntil;
+        std::uint32_t losses = 0; ///< in a row
+        std::uint32_t probes = 0; ///< requests at the server since the last loss
+    };
+
     struct Server
     {
         BrokeredServer info;
@@ -169,18 +177,24 @@
         double grossMs = 0.0; ///< average with all slow phases
         double slowness = 1.0;
         TimePoint slownessAt;
-        TimePoint pausedUntil;
-        std::uint32_t losses = 0; ///< in a row
+        TimePoint pausedUntil; ///< after it declined a request
+        std::map<AvailabilityZoneId, Trouble> troubles; ///< by the zone of the VMs that had it
         std::deque<TimePoint> grants; ///< within the last second
     };
     struct Granted
     {
         BackendServerId server;
         ServerLife life;
+        AvailabilityZoneId zone; ///< of the VM that has the slot
         TimePoint expiresAt;
     };
 
-    [[nodiscard]] auto mayTake(const Server &server, TimePoint now) const -> bool;
+    [[nodiscard]] auto mayTake(const Server &server, const AvailabilityZoneId &zone,
+                               TimePoint now) const -> bool;
+    [[nodiscard]] static auto troubleOf(const Server &server, const AvailabilityZoneId &zone)
+        -> const Trouble *;
+    [[nodiscard]] static auto restsUntil(const Server &server, const AvailabilityZoneId &zone)
+        -> TimePoint;
     [[nodiscard]] auto longRunMs(const Server &server) const -> double;
     [[nodiscard]] auto expectedMs(const Server &server, TimePoint now) const -> double;
     [[nodiscard]] auto choose(const SlotRequest &request, TimePoint now) -> Server *;
@@ -201,8 +215,10 @@
     auto grant(const SlotRequest &request, Server &server, TimePoint now) -> void;
     auto refuse(const SlotRequest &request, Duration retryAfter) -> void;
     auto dispatch(TimePoint now) -> void;
-    auto noteLoss(Server &server, TimePoint now) -> void;
-    auto note(Server &server, const SlotResult &result, TimePoint now) -> void;
+    static auto free(Server &server, const AvailabilityZoneId &zone) -> void;
+    auto noteLoss(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void;
+    auto note(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
+              TimePoint now) -> void;
     auto forgetOldGrants(TimePoint now) -> void;
 
     SlotBrokerOptions m_options;
--- a/src/core/gateway/fleet_view.cpp
+++ b/src/core/gateway/fleet_view.cpp
@@ -73,12 +73,14 @@
     return before;
 }
 
-auto FleetView::home(std::string_view subject, TimePoint now) const -> VmId
+auto FleetView::home(std::string_view subject, TimePoint now,
+                     const std::set<VmId> &excluded) const -> VmId
 {
     auto best = m_self;
     auto bestRank = m_leaving ? std::uint64_t{0} : rank(subject, m_self);
     for (const auto &[vm, member] : m_members) {
-        if (isAlive(member, now) && !member.leaving && rank(subject, vm) > bestRank) {
+        const auto fits = isAlive(member, now) && !member.leaving && !excluded.contains(vm);
+        if (fits && rank(subject, vm) > bestRank) {
             best = vm;
             bestRank = rank(subject, vm);
         }
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -350,6 +350,12 @@
                                       .fence = range.owned.fence});
 }
 
+// Every earlier grant of the range has been answered, or has a lower fence than one that was.
+auto KeyController::isMovable(const Range &range) -> bool
+{
+    return range.phase == Phase::Held && range.confirmed && !range.needsFence && !range.underWay;
+}
+
 auto KeyController::releaseLeaving(const ServiceId &id, Service &service,
                                    const ControllerInputs &inputs,
                                    std::vector<ControllerAction> &actions) -> void
@@ -358,9 +364,7 @@
         const auto *server = inputs.registry.find(range.owned.owner.server);
         // A server whose entry is gone may live on, out of the store's reach.
         const auto leaving = server == nullptr || !inputs.registry.takesWork(*server);
-        const auto movable = range.phase == Phase::Held && range.confirmed && !range.needsFence
-            && !range.underWay;
-        if (leaving && movable) {
+        if (leaving && isMovable(range)) {
             release(id, range, actions);
         }
     }
@@ -383,12 +387,11 @@
                               const ControllerInputs &inputs, TimePoint now,
                               std::vector<ControllerAction> &actions) -> void
 {
-    const auto calm = std::all_of(
-        service.ranges.begin(), service.ranges.end(), [](const Range &range) {
-            return range.phase == Phase::Held && range.confirmed && !range.needsFence;
-        });
+    const auto inMotion = std::count_if(
+        service.ranges.begin(), service.ranges.end(),
+        [](const Range &range) { return range.phase != Phase::Held && !range.owned.owner.server.empty(); });
     const auto loads = inputs.loads.find(id);
-    if (!calm || m_append || now - service.rebalancedAt < m_options.rebalanceInterval) {
+    if (inMotion > 0 || m_append || now - service.rebalancedAt < m_options.rebalanceInterval) {
         return;
     }
     service.rebalancedAt = now;
@@ -401,7 +404,7 @@
         for (auto &range : service.ranges) {
             const auto inside =
                 range.owned.keys.from >= move.keys.from && range.owned.keys.to <= move.keys.to;
-            if (inside && range.phase == Phase::Held && !range.underWay) {
+            if (inside && isMovable(range)) {
                 range.target = move.to;
                 release(id, range, actions);
             }
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -91,25 +91,36 @@
     }
     const auto server = m_servers.find(granted->second.server);
     if (server != m_servers.end() && server->second.info.life == granted->second.life) {
-        note(server->second, result, now);
+        note(server->second, granted->second.zone, result, now);
     }
     m_granted.erase(granted);
     dispatch(now);
 }
 
-auto SlotBroker::noteLoss(Server &server, TimePoint now) -> void
+auto SlotBroker::noteLoss(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void
 {
     constexpr auto maxDoublings = 4U;
-    const auto factor = std::exp2(std::min(server.losses, maxDoublings));
+    auto &trouble = server.troubles[zone];
+    const auto factor = std::exp2(std::min(trouble.losses, maxDoublings));
     const auto pause =
         std::min(toMs(m_options.firstPause) * factor, toMs(m_options.longestPause));
-    server.losses += 1;
-    server.pausedUntil = now + fromMs(pause);
+    trouble.losses += 1;
+    trouble.probes = 0;
+    trouble.pausedUntil = now + fromMs(pause);
 }
 
-auto SlotBroker::note(Server &server, const SlotResult &result, TimePoint now) -> void
+auto SlotBroker::free(Server &server, const AvailabilityZoneId &zone) -> void
 {
     server.running -= server.running > 0 ? 1 : 0;
+    if (const auto trouble = server.troubles.find(zone); trouble != server.troubles.end()) {
+        trouble->second.probes -= trouble->second.probes > 0 ? 1 : 0;
+    }
+}
+
+auto SlotBroker::note(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
+                      TimePoint now) -> void
+{
+    free(server, zone);
     if (result.load) {
         server.slowness = std::clamp(result.load->slowness, 0.1, 20.0);
         server.slownessAt = now;
@@ -117,7 +128,7 @@
     switch (result.end) {
     case SlotEnd::Served:
     case SlotEnd::Failed: {
-        server.losses = 0;
+        server.troubles.erase(zone);
         // What the server would have taken at its usual speed.
         const auto sample =
             toMs(result.elapsed) / std::max(1.0, result.load ? result.load->slowness : 1.0);
@@ -133,12 +144,12 @@
         server.pausedUntil = std::max(server.pausedUntil, now + m_options.declinePause);
         break;
     case SlotEnd::Lost:
-        noteLoss(server, now);
+        noteLoss(server, zone, now);
         break;
     case SlotEnd::TimedOut:
         // A request that had little time left says nothing against its server.
         if (toMs(result.elapsed) > longRunMs(server) * m_options.timeoutToLoss) {
-            noteLoss(server, now);
+            noteLoss(server, zone, now);
         }
         break;
     case SlotEnd::Abandoned:
@@ -146,14 +157,34 @@
     }
 }
 
-auto SlotBroker::mayTake(const Server &server, TimePoint now) const -> bool
+// What counts for VMs of a zone: their own trouble with the server, or the trouble that two other
+// zones have.
+auto SlotBroker::troubleOf(const Server &server, const AvailabilityZoneId &zone) -> const Trouble *
+{
+    const auto own = server.troubles.find(zone);
+    if (own != server.troubles.end()) {
+        return &own->second;
+    }
+    return server.troubles.size() >= 2 ? &server.troubles.begin()->second : nullptr;
+}
+
+auto SlotBroker::restsUntil(const Server &server, const AvailabilityZoneId &zone) -> TimePoint
+{
+    const auto *trouble = troubleOf(server, zone);
+    return trouble == nullptr ? server.pausedUntil
+                              : std::max(server.pausedUntil, trouble->pausedUntil);
+}
+
+auto SlotBroker::mayTake(const Server &server, const AvailabilityZoneId &zone, TimePoint now) const
+    -> bool
 {
-    if (!server.info.takesWork || server.pausedUntil > now) {
+    if (!server.info.takesWork || restsUntil(server, zone) > now
+        || server.running >= server.info.slots) {
         return false;
     }
     // After a lost request a single one shows whether the server is back.
-    const auto limit = server.losses > 0 ? 1U : server.info.slots;
-    if (server.running >= limit) {
+    const auto *trouble = troubleOf(server, zone);
+    if (trouble != nullptr && trouble->probes > 0) {
         return false;
     }
     if (server.info.coldUntil > now) {
@@ -181,12 +212,12 @@
 {
     if (!request.owner.empty()) {
         const auto found = m_servers.find(request.owner);
-        return found != m_servers.end() && mayTake(found->second, now) ? &found->second : nullptr;
+        return found != m_servers.end() && mayTake(found->second, request.zone, now) ? &found->second : nullptr;
     }
     auto *best = static_cast<Server *>(nullptr);
     auto bestMs = std::numeric_limits<double>::max();
     for (auto &[id, server] : m_servers) {
-        if (server.service != request.service || !mayTake(server, now) || excludes(request, id)) {
+        if (server.service != request.service || !mayTake(server, request.zone, now) || excludes(request, id)) {
             continue;
         }
         const auto zoneCost = server.info.zone == request.zone ? 1.0 : m_options.otherZoneCost;
@@ -224,12 +255,12 @@
         if (!fits || !server.info.takesWork || excludes(request, id)) {
             continue;
         }
-        if (server.pausedUntil > now) {
-            const auto pause = server.pausedUntil - now;
+        if (const auto until = restsUntil(server, request.zone); until > now) {
+            const auto pause = until - now;
             result.pause = std::min(result.pause.value_or(pause), pause);
             continue;
         }
-        result.free = result.free || mayTake(server, now);
+        result.free = result.free || mayTake(server, request.zone, now);
         const auto warm = server.info.slots / longRunMs(server);
         const auto cold = server.info.coldRequestsPerSecond / 1000.0;
         result.perMs += server.info.coldUntil > now ? std::min(warm, cold) : warm;
@@ -280,9 +311,13 @@
 auto SlotBroker::grant(const SlotRequest &request, Server &server, TimePoint now) -> void
 {
     server.running += 1;
+    for (auto &[zone, trouble] : server.troubles) {
+        trouble.probes += zone == request.zone ? 1 : 0;
+    }
     server.grants.push_back(now);
     m_granted[request.id] = {.server = server.info.life.server,
                              .life = server.info.life,
+                             .zone = request.zone,
                              .expiresAt = request.deadline + m_options.ticketGrace};
     m_decisions.push_back({.id = request.id, .outcome = SlotGrant{server.info.life}});
 }
@@ -334,7 +369,7 @@
         }
         const auto server = m_servers.find(item.second.server);
         if (server != m_servers.end() && server->second.info.life == item.second.life) {
-            server->second.running -= server->second.running > 0 ? 1 : 0;
+            free(server->second, item.second.zone);
         }
         return true;
     });
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace figlanding {
@@ -95,7 +96,7 @@
     const auto number = request.id.number;
     auto &ticket = m_tickets[number];
     ticket = {.request = std::move(request), .heardAt = now};
-    ticket.home = m_view.home(ticket.request.service.value(), now);
+    ticket.home = homeOf(ticket.request.service, now);
     sendAsk(number, ticket, now);
 }
 
@@ -119,6 +120,17 @@
                                          .deadlineIn = toMs(request.deadline - now)});
 }
 
+// A VM that this one hears may not hear this one.
+auto SlotClient::homeOf(const ServiceId &group, TimePoint now) -> VmId
+{
+    std::erase_if(m_mutedUntil, [&](const auto &item) { return item.second <= now; });
+    auto muted = std::set<VmId>{};
+    for (const auto &[vm, until] : m_mutedUntil) {
+        muted.insert(vm);
+    }
+    return m_view.home(group.value(), now, muted);
+}
+
 auto SlotClient::decideAlone(std::uint64_t number, Ticket &ticket, TimePoint now) -> void
 {
     m_handlers.send(ticket.home, SlotDone{.ticket = number, .end = SlotEnd::Abandoned});
@@ -226,6 +238,7 @@
         return;
     }
     found->second.heardAt = now;
+    m_mutedUntil.erase(from);
     if (answer.state == SlotState::Granted) {
         settleTicket(answer.ticket, SlotGrant{answer.server});
     } else if (answer.state == SlotState::Refused) {
@@ -249,19 +262,25 @@
             continue;
         }
         auto &ticket = found->second;
-        const auto home = m_view.home(ticket.request.service.value(), now);
-        if (home != ticket.home) {
-            m_handlers.send(ticket.home, SlotDone{.ticket = number, .end = SlotEnd::Abandoned});
-            ticket.home = home;
-            ticket.heardAt = now;
-            sendAsk(number, ticket, now);
-        } else if (home == m_options.self) {
+        if (ticket.home != m_options.self && now - ticket.heardAt > m_options.giveUpAfter) {
+            m_mutedUntil[ticket.home] = now + m_options.muteFor;
+        }
+        const auto home = homeOf(ticket.request.service, now);
+        if (home == ticket.home) {
+            if (home != m_options.self) {
+                sendAsk(number, ticket, now);
+            }
+            continue;
+        }
+        if (ticket.homesAsked > 1) {
+            decideAlone(number, ticket, now); // time runs out while VMs are asked in turn
             continue;
-        } else if (now - ticket.heardAt > m_options.giveUpAfter) {
-            decideAlone(number, ticket, now);
-        } else {
-            sendAsk(number, ticket, now);
         }
+        m_handlers.send(ticket.home, SlotDone{.ticket = number, .end = SlotEnd::Abandoned});
+        ticket.home = home;
+        ticket.homesAsked += 1;
+        ticket.heardAt = now;
+        sendAsk(number, ticket, now);
     }
     deliver(m_broker);
     deliver(m_alone);
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -25,7 +25,8 @@
     std::uint64_t randomSeed = 0;
     std::size_t groupSize = 24; ///< servers whose slots one VM hands out
     milliseconds repeatAfter{120}; ///< an ask without an answer is sent again
-    milliseconds giveUpAfter{300}; ///< without any answer this VM decides alone
+    milliseconds giveUpAfter{250}; ///< without any answer another VM is asked
+    milliseconds muteFor{1500}; ///< a VM that gave no answer is not asked for this long
 };
 
 /// Effects of SlotClient.
@@ -76,6 +77,7 @@
         VmId home;
         bool granted = false;
         bool alone = false; ///< this VM decided without the home
+        std::uint32_t homesAsked = 1;
         TimePoint heardAt; ///< last answer of the home, or when it was first asked
         TimePoint sentAt;
     };
@@ -84,6 +86,7 @@
         -> ServiceId;
     [[nodiscard]] auto pickGroup(const SlotRequest &request) -> ServiceId;
     auto sendAsk(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
+    [[nodiscard]] auto homeOf(const ServiceId &group, TimePoint now) -> VmId;
     auto decideAlone(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
     auto deliver(SlotBroker &broker) -> void;
     auto settleTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome)
@@ -98,6 +101,7 @@
     SlotBroker m_alone; ///< one slot a server, for when a group's home does not answer
     RandomEngine m_random;
     std::map<ServiceId, std::size_t> m_groupCounts;
+    std::map<VmId, TimePoint> m_mutedUntil; ///< VMs that did not answer, perhaps one way only
     std::map<std::uint64_t, Ticket> m_tickets;
 };
 
--- a/tests/unit/slot_broker_test.cpp
+++ b/tests/unit/slot_broker_test.cpp
@@ -224,3 +224,40 @@
     broker.ask(request(101, start), start);
     CHECK(grantedTo(broker.takeDecisions(), 101) == "slow");
 }
+
+TEST_CASE("losses of one zone's VMs rest a server for that zone, losses of two zones for all")
+{
+    auto broker = SlotBroker({}, 1);
+    broker.setServers(service, {server("s1", 4)});
+    const auto askFrom = [&](std::uint64_t number, const char *zone) {
+        auto asked = request(number, start);
+        asked.zone = AvailabilityZoneId(zone);
+        broker.ask(asked, start);
+        return grantedTo(broker.takeDecisions(), number);
+    };
+    const auto lose = [&](std::uint64_t number) {
+        broker.finish({.vm = VmId("vm"), .number = number}, {.end = SlotEnd::Lost}, start);
+    };
+    CHECK(askFrom(1, "a") == "s1");
+    lose(1);
+    CHECK(askFrom(2, "a") == "waiting");
+    CHECK(askFrom(3, "b") == "s1");
+    CHECK(askFrom(4, "c") == "s1");
+    lose(3);
+    CHECK(askFrom(5, "c") == "waiting");
+}
+
+TEST_CASE("a probe whose VM fell silent does not keep a server from its zone")
+{
+    auto broker = SlotBroker({}, 1);
+    broker.setServers(service, {server("s1", 2)});
+    broker.ask(request(1, start), start);
+    broker.finish({.vm = VmId("vm"), .number = 1}, {.end = SlotEnd::Lost}, start);
+    const auto probeAt = start + seconds(1);
+    broker.ask(request(2, probeAt), probeAt);
+    static_cast<void>(broker.takeDecisions());
+    const auto later = probeAt + seconds(2);
+    broker.tick(later);
+    broker.ask(request(3, later), later);
+    CHECK(grantedTo(broker.takeDecisions(), 3) == "s1");
+}
