Let the fleet's own traffic grow with its size, not with its square

VMs behind read the store on every heartbeat that named a later end (576 calls a second). A VM that came back behind read old configurations of 60 KB each until its timeout, again and again, and served version 10 while 33 was in force. Ruled out: processor time (0.03 of 0.1 to 0.5 cores). Change: heartbeats say what changed, at an interval that grows with the fleet; keys and service times go to the controller only; unchanged announcements are not passed on; a gap is given 200 ms to close; a read that times out starts over with the newest records; a VM whose reads fail leaves reading to others; four VMs offer themselves as controller; slots are kept by group; a cold server gets 0.65 of what it bears, since held-up requests arrive together.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -32,12 +32,19 @@
 {
     bool leaving = false;
     std::map<std::string, LogOffset> topicEnds; ///< how far the sender has read each topic
-    std::map<TeamId, TeamUse> uses; ///< of the teams' rates
+    std::map<TeamId, TeamUse> uses; ///< of the teams' rates, where they changed since the last one
+
+    auto operator==(const Heartbeat &) const -> bool = default;
+};
+
+/// Sent to the VM that assigns keys, with each heartbeat.
+struct WorkReport
+{
     std::vector<KeyCount> keys;
     /// Average service times of the servers whose slots the sender hands out.
     std::map<BackendServerId, milliseconds> serviceTimes;
 
-    auto operator==(const Heartbeat &) const -> bool = default;
+    auto operator==(const WorkReport &) const -> bool = default;
 };
 
 /// Asks the broker of a server group for a slot.
@@ -85,15 +92,17 @@
 struct TopicUpdate
 {
     std::string topic;
-    LogOffset from = 0; ///< offset of the first record
-    LogOffset next = 0; ///< offset after the last record
-    /// All records between the two offsets; none, if they are too large to be passed on.
+    LogOffset from = 0; ///< first offset that the update covers
+    LogOffset next = 0; ///< offset after the last one that it covers
+    /// The records between the two that change anything.
     std::vector<KeyedRecord> records;
+    bool whole = true; ///< false: a record that changes something is too large to be passed on
 
     auto operator==(const TopicUpdate &) const -> bool = default;
 };
 
-using FleetPayload = std::variant<Heartbeat, SlotAsk, SlotAnswer, SlotDone, TopicUpdate>;
+using FleetPayload =
+    std::variant<Heartbeat, SlotAsk, SlotAnswer, SlotDone, TopicUpdate, WorkReport>;
 
 /// A datagram.
 struct FleetMessage
--- a/include/figlanding/gateway/fleet_view.h
+++ b/include/figlanding/gateway/fleet_view.h
@@ -61,6 +61,11 @@
                             const std::set<VmId> &excluded = {}) const -> VmId;
     /// Returns how many living VMs stand before this one for a duty that one VM at a time does.
     [[nodiscard]] auto rankOf(std::string_view subject, TimePoint now) const -> std::size_t;
+    /// Sets the time after which a VM that was not heard is not alive.
+    auto setSilence(milliseconds silence) -> void
+    {
+        m_options.silence = silence;
+    }
     auto setLeaving() -> void
     {
         m_leaving = true;
--- a/include/figlanding/gateway/relay_schedule.h
+++ b/include/figlanding/gateway/relay_schedule.h
@@ -34,7 +34,9 @@
     /// Returns how long after @p now the VM should begin to read.
     /// @param rank number of living VMs that stand before this one
     /// @param pause of a VM that reads for itself, until its next read
-    [[nodiscard]] auto delay(std::size_t rank, Duration pause, TimePoint now) const -> Duration;
+    /// @param failed whether its last read failed; another VM then goes on reading
+    [[nodiscard]] auto delay(std::size_t rank, Duration pause, bool failed, TimePoint now) const
+        -> Duration;
 
 private:
     [[nodiscard]] auto patience(std::size_t rank) const -> Duration;
--- a/include/figlanding/gateway/server_registry.h
+++ b/include/figlanding/gateway/server_registry.h
@@ -49,6 +49,10 @@
     /// Removes a server whose entry is gone, unless it announces itself before @p due. An entry
     /// that lapsed while the store was away may come back soon after.
     auto remove(const BackendServerId &id, TimePoint due) -> void;
+    [[nodiscard]] auto isToBeRemoved(const BackendServerId &id) const -> bool
+    {
+        return m_removals.contains(id);
+    }
     /// Carries out removals that are due.
     /// @return whether a server was removed
     auto expire(TimePoint now) -> bool;
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -123,6 +123,9 @@
     /// A server that timed out is lost if it had this multiple of its average time.
     double timeoutToLoss = 4.0;
     milliseconds declinePause{60}; ///< a server that declined rests for this long
+    /// Part of the rate that a cold server bears which is handed out: requests may be held up on
+    /// their way and arrive together.
+    double coldShare = 0.65;
     milliseconds ticketGrace{500}; ///< a slot is free this long after its deadline
     double minTimeShare = 0.6; ///< share of the average service time a request must have left
 
@@ -148,10 +151,7 @@
 
     /// Returns whether a ticket waits for a slot.
     [[nodiscard]] auto isWaiting(const TicketId &id) const -> bool;
-    [[nodiscard]] auto waiting() const -> std::size_t
-    {
-        return m_waiting.size();
-    }
+    [[nodiscard]] auto waiting() const -> std::size_t;
     [[nodiscard]] auto running() const -> std::size_t
     {
         return m_granted.size();
@@ -171,7 +171,6 @@
     struct Server
     {
         BrokeredServer info;
-        ServiceId service;
         std::uint32_t running = 0;
         double averageMs = 0.0; ///< at the usual speed; 0: no history
         double grossMs = 0.0; ///< average with all slow phases
@@ -181,9 +180,15 @@
         std::map<AvailabilityZoneId, Trouble> troubles; ///< by the zone of the VMs that had it
         std::deque<TimePoint> grants; ///< within the last second
     };
+    // The servers of a service, and the requests that wait for one of them.
+    struct Group
+    {
+        std::map<BackendServerId, Server> servers;
+        std::vector<SlotRequest> waiting;
+    };
     struct Granted
     {
-        BackendServerId server;
+        ServiceId service;
         ServerLife life;
         AvailabilityZoneId zone; ///< of the VM that has the slot
         TimePoint expiresAt;
@@ -195,9 +200,10 @@
         -> const Trouble *;
     [[nodiscard]] static auto restsUntil(const Server &server, const AvailabilityZoneId &zone)
         -> TimePoint;
+    [[nodiscard]] auto coldRate(const Server &server) const -> double;
     [[nodiscard]] auto longRunMs(const Server &server) const -> double;
     [[nodiscard]] auto expectedMs(const Server &server, TimePoint now) const -> double;
-    [[nodiscard]] auto choose(const SlotRequest &request, TimePoint now) -> Server *;
+    [[nodiscard]] auto choose(Group &group, const SlotRequest &request, TimePoint now) -> Server *;
     // What the servers that may run a request can do.
     struct Throughput
     {
@@ -206,15 +212,21 @@
         std::optional<Duration> pause; ///< until the first one that rests may take requests
     };
 
-    [[nodiscard]] auto throughput(const SlotRequest &request, TimePoint now) const -> Throughput;
-    [[nodiscard]] auto expectedWait(const SlotRequest &request, std::size_t ahead,
-                                    TimePoint now) const -> std::optional<Duration>;
-    [[nodiscard]] auto countAhead(const SlotRequest &request) const -> std::size_t;
-    auto refuseHopeless(TimePoint now) -> void;
-    [[nodiscard]] auto typicalServiceMs(const SlotRequest &request) const -> double;
+    [[nodiscard]] auto throughput(const Group &group, const SlotRequest &request,
+                                  TimePoint now) const -> Throughput;
+    [[nodiscard]] auto expectedWait(const Group &group, const SlotRequest &request,
+                                    std::size_t ahead, TimePoint now) const
+        -> std::optional<Duration>;
+    [[nodiscard]] static auto countAhead(const Group &group, const SlotRequest &request)
+        -> std::size_t;
+    [[nodiscard]] auto timeNeeded(const Group &group, const SlotRequest &request) const -> Duration;
+    auto refuseHopeless(Group &group, TimePoint now) -> void;
+    [[nodiscard]] auto findServer(const Granted &granted) -> Server *;
+    [[nodiscard]] auto typicalServiceMs(const Group &group, const SlotRequest &request) const
+        -> double;
     auto grant(const SlotRequest &request, Server &server, TimePoint now) -> void;
     auto refuse(const SlotRequest &request, Duration retryAfter) -> void;
-    auto dispatch(TimePoint now) -> void;
+    auto dispatch(Group &group, TimePoint now) -> void;
     static auto free(Server &server, const AvailabilityZoneId &zone) -> void;
     auto noteLoss(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void;
     auto note(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
@@ -223,9 +235,9 @@
 
     SlotBrokerOptions m_options;
     RandomEngine m_random;
-    std::map<BackendServerId, Server> m_servers;
+    std::map<ServiceId, Group> m_groups;
+    std::map<TicketId, ServiceId> m_waiting; ///< the group of each ticket that waits
     std::map<TicketId, Granted> m_granted;
-    std::vector<SlotRequest> m_waiting;
     std::vector<SlotDecision> m_decisions;
 };
 
--- a/include/figlanding/gateway/team_limits.h
+++ b/include/figlanding/gateway/team_limits.h
@@ -65,8 +65,9 @@
                 const std::map<TeamId, TeamUse> &uses, TimePoint now) -> void;
     /// Sets the number of VMs that serve, with this one.
     auto setFleetSize(std::size_t vms) -> void;
-    /// Returns this VM's report.
-    [[nodiscard]] auto uses(TimePoint now) -> std::map<TeamId, TeamUse>;
+    /// Returns this VM's report: the teams that sent requests since the last one, and those that
+    /// have just stopped.
+    [[nodiscard]] auto takeUses(TimePoint now) -> std::map<TeamId, TeamUse>;
     /// Returns after which time a refused request may be admitted.
     [[nodiscard]] auto retryAfter(const TeamId &team, const TeamRate &rate) const -> Duration;
     /// Returns the estimated content of a team's bucket, in requests; negative for a debt.
@@ -79,6 +80,7 @@
         double ownPart = 0.0; ///< content of the share that is used near the end
         TeamUse use;
         TimePoint updatedAt;
+        bool reported = false; ///< the others know of demand
     };
     struct Report
     {
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -13,7 +13,7 @@
 
 using nlohmann::json;
 
-enum class Kind : int { Heartbeat = 1, Ask = 2, Answer = 3, Done = 4, Topic = 5 };
+enum class Kind : int { Heartbeat = 1, Ask = 2, Answer = 3, Done = 4, Topic = 5, Work = 6 };
 
 auto toJson(const Heartbeat &message) -> json
 {
@@ -21,6 +21,11 @@
     for (const auto &[team, use] : message.uses) {
         uses.push_back({team.value(), use.admitted, use.demand, use.admittedRate});
     }
+    return {static_cast<int>(Kind::Heartbeat), message.leaving, message.topicEnds, std::move(uses)};
+}
+
+auto toJson(const WorkReport &message) -> json
+{
     auto keys = json::array();
     for (const auto &count : message.keys) {
         keys.push_back({count.service.value(), count.key, count.requests});
@@ -29,12 +34,7 @@
     for (const auto &[server, time] : message.serviceTimes) {
         times.push_back({server.value(), time.count()});
     }
-    return {static_cast<int>(Kind::Heartbeat),
-            message.leaving,
-            message.topicEnds,
-            std::move(uses),
-            std::move(keys),
-            std::move(times)};
+    return {static_cast<int>(Kind::Work), std::move(keys), std::move(times)};
 }
 
 auto toJson(const SlotAsk &message) -> json
@@ -69,27 +69,34 @@
 {
     auto records = json::array();
     for (const auto &record : message.records) {
-        auto row = json{record.key};
+        auto row = json{record.offset - message.from, record.key};
         if (record.value) {
             row.push_back(json::binary({record.value->begin(), record.value->end()}));
         }
         records.push_back(std::move(row));
     }
-    return {static_cast<int>(Kind::Topic), message.topic, message.from, message.next,
-            std::move(records)};
+    return {static_cast<int>(Kind::Topic), message.topic,  message.from, message.next,
+            std::move(records),            message.whole};
 }
 
 auto heartbeatFrom(const json &fields) -> Heartbeat
 {
-    auto message = Heartbeat{.leaving = fields.at(1).get<bool>(),
-                             .topicEnds = fields.at(2).get<std::map<std::string, LogOffset>>()};
+    auto message =
+        Heartbeat{.leaving = fields.at(1).get<bool>(),
+                  .topicEnds = fields.at(2).get<std::map<std::string, LogOffset>>()};
     for (const auto &row : fields.at(3)) {
         message.uses.emplace(TeamId(row.at(0).get<std::string>()),
                              TeamUse{.admitted = row.at(1).get<std::uint64_t>(),
                                      .demand = row.at(2).get<double>(),
                                      .admittedRate = row.at(3).get<double>()});
     }
-    for (const auto &row : fields.at(4)) {
+    return message;
+}
+
+auto workFrom(const json &fields) -> WorkReport
+{
+    auto message = WorkReport{};
+    for (const auto &row : fields.at(1)) {
         const auto key = row.at(1).get<ShardKey>();
         if (key < shardKeyCount) {
             message.keys.push_back({.service = ServiceId(row.at(0).get<std::string>()),
@@ -97,7 +104,7 @@
                                     .requests = row.at(2).get<std::uint32_t>()});
         }
     }
-    for (const auto &row : fields.at(5)) {
+    for (const auto &row : fields.at(2)) {
         message.serviceTimes.emplace(BackendServerId(row.at(0).get<std::string>()),
                                      milliseconds(row.at(1).get<std::int64_t>()));
     }
@@ -148,12 +155,13 @@
 {
     auto message = TopicUpdate{.topic = fields.at(1).get<std::string>(),
                                .from = fields.at(2).get<LogOffset>(),
-                               .next = fields.at(3).get<LogOffset>()};
-    auto offset = message.from;
+                               .next = fields.at(3).get<LogOffset>(),
+                               .whole = fields.at(5).get<bool>()};
     for (const auto &row : fields.at(4)) {
-        auto record = KeyedRecord{.offset = offset++, .key = row.at(0).get<std::string>()};
-        if (row.size() > 1) {
-            const auto &bytes = row.at(1).get_binary();
+        auto record = KeyedRecord{.offset = message.from + row.at(0).get<LogOffset>(),
+                                  .key = row.at(1).get<std::string>()};
+        if (row.size() > 2) {
+            const auto &bytes = row.at(2).get_binary();
             record.value = std::string(bytes.begin(), bytes.end());
         }
         message.records.push_back(std::move(record));
@@ -174,6 +182,8 @@
         return FleetPayload(doneFrom(fields));
     case Kind::Topic:
         return FleetPayload(topicFrom(fields));
+    case Kind::Work:
+        return FleetPayload(workFrom(fields));
     }
     return fail(ErrorCode::InvalidValue, "unknown kind of datagram");
 }
--- a/src/core/gateway/relay_schedule.cpp
+++ b/src/core/gateway/relay_schedule.cpp
@@ -25,13 +25,12 @@
     return m_options.period + m_options.step * static_cast<int>(std::min(rank, maxSteps) + 1);
 }
 
-auto RelaySchedule::delay(std::size_t rank, Duration pause, TimePoint now) const -> Duration
+auto RelaySchedule::delay(std::size_t rank, Duration pause, bool failed, TimePoint now) const
+    -> Duration
 {
-    const auto due = m_relayedAt + patience(rank);
-    if (rank == 0 || !m_relayed || due <= now) {
-        return pause;
-    }
-    return std::max(pause, due - now);
+    const auto due = m_relayedAt + patience(failed ? maxSteps : rank);
+    const auto reads = rank == 0 && !failed;
+    return reads || !m_relayed || due <= now ? pause : std::max(pause, due - now);
 }
 
 } // namespace figlanding
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -40,21 +41,18 @@
 auto SlotBroker::setServers(const ServiceId &service, const std::vector<BrokeredServer> &servers)
     -> void
 {
-    for (auto &[id, server] : m_servers) {
-        if (server.service == service) {
-            server.info.takesWork = false;
-        }
+    auto &known = m_groups[service].servers;
+    for (auto &[id, server] : known) {
+        server.info.takesWork = false;
     }
     for (const auto &info : servers) {
-        const auto known = m_servers.find(info.life.server);
-        if (known != m_servers.end() && known->second.info.life != info.life) {
-            m_servers.erase(known);
+        const auto found = known.find(info.life.server);
+        if (found != known.end() && found->second.info.life != info.life) {
+            known.erase(found);
         }
-        auto &server = m_servers[info.life.server];
-        server.info = info;
-        server.service = service;
+        known[info.life.server].info = info;
     }
-    std::erase_if(m_servers, [](const auto &item) {
+    std::erase_if(known, [](const auto &item) {
         return !item.second.info.takesWork && item.second.running == 0;
     });
 }
@@ -68,33 +66,43 @@
     if (isWaiting(request.id)) {
         return;
     }
-    const auto wait = expectedWait(request, countAhead(request), now);
+    auto &group = m_groups[request.service];
+    const auto wait = expectedWait(group, request, countAhead(group, request), now);
     if (!wait) {
         refuse(request, retryWithoutServers);
         return;
     }
-    const auto needed = *wait + fromMs(typicalServiceMs(request) * m_options.minTimeShare);
-    if (now + needed > request.deadline) {
+    if (now + *wait + timeNeeded(group, request) > request.deadline) {
         refuse(request, *wait);
         return;
     }
-    m_waiting.push_back(request);
-    dispatch(now);
+    group.waiting.push_back(request);
+    m_waiting.emplace(request.id, request.service);
+    dispatch(group, now);
 }
 
 auto SlotBroker::finish(const TicketId &id, const SlotResult &result, TimePoint now) -> void
 {
-    std::erase_if(m_waiting, [&](const SlotRequest &request) { return request.id == id; });
-    const auto granted = m_granted.find(id);
-    if (granted == m_granted.end()) {
+    if (const auto waiting = m_waiting.extract(id); !waiting.empty()) {
+        std::erase_if(m_groups[waiting.mapped()].waiting,
+                      [&](const SlotRequest &request) { return request.id == id; });
+    }
+    const auto granted = m_granted.extract(id);
+    if (granted.empty()) {
         return;
     }
-    const auto server = m_servers.find(granted->second.server);
-    if (server != m_servers.end() && server->second.info.life == granted->second.life) {
-        note(server->second, granted->second.zone, result, now);
+    if (auto *server = findServer(granted.mapped())) {
+        note(*server, granted.mapped().zone, result, now);
     }
-    m_granted.erase(granted);
-    dispatch(now);
+    dispatch(m_groups[granted.mapped().service], now);
+}
+
+auto SlotBroker::findServer(const Granted &granted) -> Server *
+{
+    auto &servers = m_groups[granted.service].servers;
+    const auto found = servers.find(granted.life.server);
+    return found != servers.end() && found->second.info.life == granted.life ? &found->second
+                                                                             : nullptr;
 }
 
 auto SlotBroker::noteLoss(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void
@@ -190,7 +198,7 @@
     if (server.info.coldUntil > now) {
         const auto recent = std::count_if(server.grants.begin(), server.grants.end(),
                                           [&](TimePoint at) { return now - at < grantWindow; });
-        return static_cast<double>(recent) + 1.0 <= server.info.coldRequestsPerSecond;
+        return static_cast<double>(recent) + 1.0 <= coldRate(server);
     }
     return true;
 }
@@ -200,6 +208,11 @@
     return server.grossMs > 0.0 ? server.grossMs : toMs(m_options.assumedServiceTime);
 }
 
+auto SlotBroker::coldRate(const Server &server) const -> double
+{
+    return server.info.coldRequestsPerSecond * m_options.coldShare;
+}
+
 auto SlotBroker::expectedMs(const Server &server, TimePoint now) const -> double
 {
     const auto usual =
@@ -208,16 +221,18 @@
     return usual * (current ? server.slowness : 1.0);
 }
 
-auto SlotBroker::choose(const SlotRequest &request, TimePoint now) -> Server *
+auto SlotBroker::choose(Group &group, const SlotRequest &request, TimePoint now) -> Server *
 {
     if (!request.owner.empty()) {
-        const auto found = m_servers.find(request.owner);
-        return found != m_servers.end() && mayTake(found->second, request.zone, now) ? &found->second : nullptr;
+        const auto found = group.servers.find(request.owner);
+        return found != group.servers.end() && mayTake(found->second, request.zone, now)
+            ? &found->second
+            : nullptr;
     }
     auto *best = static_cast<Server *>(nullptr);
     auto bestMs = std::numeric_limits<double>::max();
-    for (auto &[id, server] : m_servers) {
-        if (server.service != request.service || !mayTake(server, request.zone, now) || excludes(request, id)) {
+    for (auto &[id, server] : group.servers) {
+        if (!mayTake(server, request.zone, now) || excludes(request, id)) {
             continue;
         }
         const auto zoneCost = server.info.zone == request.zone ? 1.0 : m_options.otherZoneCost;
@@ -232,55 +247,73 @@
     return best;
 }
 
-auto SlotBroker::typicalServiceMs(const SlotRequest &request) const -> double
+auto SlotBroker::typicalServiceMs(const Group &group, const SlotRequest &request) const -> double
 {
+    if (!request.owner.empty()) {
+        const auto found = group.servers.find(request.owner);
+        return found == group.servers.end() ? toMs(m_options.assumedServiceTime)
+                                            : longRunMs(found->second);
+    }
     auto sum = 0.0;
     auto count = 0;
-    for (const auto &[id, server] : m_servers) {
-        if (server.service == request.service && server.averageMs > 0.0
-            && (request.owner.empty() || id == request.owner)) {
-            sum += longRunMs(server);
+    for (const auto &[id, server] : group.servers) {
+        if (server.grossMs > 0.0) {
+            sum += server.grossMs;
             ++count;
         }
     }
     return count > 0 ? sum / count : toMs(m_options.assumedServiceTime);
 }
 
-auto SlotBroker::throughput(const SlotRequest &request, TimePoint now) const -> Throughput
+auto SlotBroker::timeNeeded(const Group &group, const SlotRequest &request) const -> Duration
+{
+    return fromMs(typicalServiceMs(group, request) * m_options.minTimeShare);
+}
+
+auto SlotBroker::throughput(const Group &group, const SlotRequest &request, TimePoint now) const
+    -> Throughput
 {
     auto result = Throughput{};
-    for (const auto &[id, server] : m_servers) {
-        const auto fits =
-            request.owner.empty() ? server.service == request.service : id == request.owner;
-        if (!fits || !server.info.takesWork || excludes(request, id)) {
-            continue;
+    const auto add = [&](const Server &server) {
+        if (!server.info.takesWork) {
+            return;
         }
         if (const auto until = restsUntil(server, request.zone); until > now) {
             const auto pause = until - now;
             result.pause = std::min(result.pause.value_or(pause), pause);
-            continue;
+            return;
         }
         result.free = result.free || mayTake(server, request.zone, now);
         const auto warm = server.info.slots / longRunMs(server);
-        const auto cold = server.info.coldRequestsPerSecond / 1000.0;
+        const auto cold = coldRate(server) / 1000.0;
         result.perMs += server.info.coldUntil > now ? std::min(warm, cold) : warm;
+    };
+    if (!request.owner.empty()) {
+        if (const auto found = group.servers.find(request.owner); found != group.servers.end()) {
+            add(found->second);
+        }
+        return result;
+    }
+    for (const auto &[id, server] : group.servers) {
+        if (!excludes(request, id)) {
+            add(server);
+        }
     }
     return result;
 }
 
-auto SlotBroker::countAhead(const SlotRequest &request) const -> std::size_t
+auto SlotBroker::countAhead(const Group &group, const SlotRequest &request) -> std::size_t
 {
     return static_cast<std::size_t>(
-        std::count_if(m_waiting.begin(), m_waiting.end(), [&](const SlotRequest &other) {
-            return other.service == request.service && other.owner == request.owner
-                && other.priority <= request.priority;
+        std::count_if(group.waiting.begin(), group.waiting.end(), [&](const SlotRequest &other) {
+            return other.owner == request.owner && other.priority <= request.priority;
         }));
 }
 
-auto SlotBroker::expectedWait(const SlotRequest &request, std::size_t ahead, TimePoint now) const
-    -> std::optional<Duration>
+auto SlotBroker::expectedWait(const Group &group, const SlotRequest &request, std::size_t ahead,
+                              TimePoint now) const -> std::optional<Duration>
 {
-    const auto servers = throughput(request, now);
+    const auto servers = throughput(group, request, now);
     if (servers.perMs <= 0.0) {
         return servers.pause;
     }
@@ -291,18 +324,19 @@
 }
 
 // Refuses each request that those ahead of it leave no time for.
-auto SlotBroker::refuseHopeless(TimePoint now) -> void
+auto SlotBroker::refuseHopeless(Group &group, TimePoint now) -> void
 {
-    auto ahead = std::map<std::pair<ServiceId, BackendServerId>, std::size_t>{};
-    std::erase_if(m_waiting, [&](const SlotRequest &request) {
-        auto &count = ahead[{request.service, request.owner}];
-        const auto wait = expectedWait(request, count, now);
-        const auto needed = fromMs(typicalServiceMs(request) * m_options.minTimeShare);
+    auto ahead = std::map<BackendServerId, std::size_t>{};
+    std::erase_if(group.waiting, [&](const SlotRequest &request) {
+        auto &count = ahead[request.owner];
+        const auto wait = expectedWait(group, request, count, now);
         // Without servers a request waits on: the registry or the owner may change.
-        if (now + wait.value_or(Duration::zero()) + needed <= request.deadline) {
+        const auto needed = wait.value_or(Duration::zero()) + timeNeeded(group, request);
+        if (now + needed <= request.deadline) {
             ++count;
             return false;
         }
+        m_waiting.erase(request.id);
         refuse(request, wait.value_or(retryWithoutServers));
         return true;
     });
@@ -315,7 +349,7 @@
         trouble.probes += zone == request.zone ? 1 : 0;
     }
     server.grants.push_back(now);
-    m_granted[request.id] = {.server = server.info.life.server,
+    m_granted[request.id] = {.service = request.service,
                              .life = server.info.life,
                              .zone = request.zone,
                              .expiresAt = request.deadline + m_options.ticketGrace};
@@ -331,19 +365,33 @@
         {.id = request.id, .outcome = SlotRefusal{fromMs(toMs(base) * spread(m_random))}});
 }
 
-auto SlotBroker::dispatch(TimePoint now) -> void
+auto SlotBroker::dispatch(Group &group, TimePoint now) -> void
 {
     // Requests that can still meet their objective go before those that cannot.
-    std::stable_sort(m_waiting.begin(), m_waiting.end(), [&](const auto &left, const auto &right) {
-        return std::tuple(left.priority, left.objectiveAt <= now, left.arrivedAt)
-            < std::tuple(right.priority, right.objectiveAt <= now, right.arrivedAt);
-    });
-    std::erase_if(m_waiting, [&](const SlotRequest &request) {
-        const auto needed = fromMs(typicalServiceMs(request) * m_options.minTimeShare);
-        auto *server = now + needed <= request.deadline ? choose(request, now) : nullptr;
+    const auto order = [&](const SlotRequest &request) {
+        return std::tuple(request.priority, request.objectiveAt <= now, request.arrivedAt);
+    };
+    const auto before = [&](const auto &left, const auto &right) {
+        return order(left) < order(right);
+    };
+    if (!std::is_sorted(group.waiting.begin(), group.waiting.end(), before)) {
+        std::stable_sort(group.waiting.begin(), group.waiting.end(), before);
+    }
+    // What found no slot for one request has none for the next one of the same kind.
+    auto full = std::set<std::pair<BackendServerId, AvailabilityZoneId>>{};
+    std::erase_if(group.waiting, [&](const SlotRequest &request) {
+        const auto kind = std::pair(request.owner, request.zone);
+        if (full.contains(kind) || now + timeNeeded(group, request) > request.deadline) {
+            return false;
+        }
+        auto *server = choose(group, request, now);
         if (server == nullptr) {
+            if (request.excluded.empty()) {
+                full.insert(kind);
+            }
             return false;
         }
+        m_waiting.erase(request.id);
         grant(request, *server, now);
         return true;
     });
@@ -352,24 +400,29 @@
 auto SlotBroker::tick(TimePoint now) -> void
 {
     forgetOldGrants(now);
-    refuseHopeless(now);
-    dispatch(now);
+    for (auto &[service, group] : m_groups) {
+        if (!group.waiting.empty()) {
+            refuseHopeless(group, now);
+            dispatch(group, now);
+        }
+    }
 }
 
 auto SlotBroker::forgetOldGrants(TimePoint now) -> void
 {
-    for (auto &[id, server] : m_servers) {
-        while (!server.grants.empty() && now - server.grants.front() >= grantWindow) {
-            server.grants.pop_front();
+    for (auto &[service, group] : m_groups) {
+        for (auto &[id, server] : group.servers) {
+            while (!server.grants.empty() && now - server.grants.front() >= grantWindow) {
+                server.grants.pop_front();
+            }
         }
     }
     std::erase_if(m_granted, [&](const auto &item) {
         if (item.second.expiresAt > now) {
             return false;
         }
-        const auto server = m_servers.find(item.second.server);
-        if (server != m_servers.end() && server->second.info.life == item.second.life) {
-            free(server->second, item.second.zone);
+        if (auto *server = findServer(item.second)) {
+            free(*server, item.second.zone);
         }
         return true;
     });
@@ -377,8 +430,12 @@
 
 auto SlotBroker::isWaiting(const TicketId &id) const -> bool
 {
-    return std::any_of(m_waiting.begin(), m_waiting.end(),
-                       [&](const SlotRequest &request) { return request.id == id; });
+    return m_waiting.contains(id);
+}
+
+auto SlotBroker::waiting() const -> std::size_t
+{
+    return m_waiting.size();
 }
 
 auto SlotBroker::takeDecisions() -> std::vector<SlotDecision>
@@ -389,9 +446,11 @@
 auto SlotBroker::serviceTimes() const -> std::map<BackendServerId, milliseconds>
 {
     auto result = std::map<BackendServerId, milliseconds>{};
-    for (const auto &[id, server] : m_servers) {
-        if (server.averageMs > 0.0) {
-            result.emplace(id, milliseconds(std::llround(server.averageMs)));
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, server] : group.servers) {
+            if (server.averageMs > 0.0) {
+                result.emplace(id, milliseconds(std::llround(server.averageMs)));
+            }
         }
     }
     return result;
--- a/src/core/gateway/team_limits.cpp
+++ b/src/core/gateway/team_limits.cpp
@@ -108,19 +108,31 @@
             bucket->second.level -= static_cast<double>(use.admitted - before);
         }
     }
-    last = {.incarnation = incarnation, .uses = uses, .at = now};
+    if (!sameRun) {
+        last.uses.clear();
+    }
+    for (const auto &[team, use] : uses) {
+        last.uses[team] = use;
+    }
+    last.incarnation = incarnation;
+    last.at = now;
 }
 
-auto TeamLimits::uses(TimePoint now) -> std::map<TeamId, TeamUse>
+auto TeamLimits::takeUses(TimePoint now) -> std::map<TeamId, TeamUse>
 {
+    constexpr auto negligible = 0.1; // requests per second
     auto result = std::map<TeamId, TeamUse>{};
-    for (const auto &[team, bucket] : m_buckets) {
+    for (auto &[team, bucket] : m_buckets) {
         auto use = bucket.use;
         const auto decay =
             std::exp(-toSeconds(now - bucket.updatedAt) / toSeconds(m_options.window));
         use.demand *= decay;
         use.admittedRate *= decay;
-        result.emplace(team, use);
+        const auto active = use.demand > negligible;
+        if (active || bucket.reported) {
+            result.emplace(team, use);
+        }
+        bucket.reported = active;
     }
     return result;
 }
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -49,15 +49,19 @@
 
 auto FleetLink::receive(std::string_view bytes, const SocketAddress &from) -> void
 {
-    const auto message = settle([&] { return decodeFleetMessage(bytes); });
-    if (!message) {
-        logEvent(LogLevel::Warning, "datagram-unreadable",
-                 {{"from", toText(from)}, {"error", describe(message.error())}});
-        return;
-    }
-    if (message.value().from != m_options.self) {
-        m_handler({.message = message.value(), .from = from});
-    }
+    valueOrElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(message, decodeFleetMessage(bytes));
+            if (message.from != m_options.self) {
+                m_handler({.message = std::move(message), .from = from});
+            }
+            return true;
+        },
+        [&](const Error &error) {
+            logEvent(LogLevel::Warning, "datagram-unreadable",
+                     {{"from", toText(from)}, {"error", describe(error)}});
+            return false;
+        });
 }
 
 } // namespace figlanding
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,8 +26,12 @@
 
 namespace figlanding {
 
-/// Interval of heartbeats between the VMs.
+/// Shortest interval of a VM's heartbeats.
 inline constexpr milliseconds heartbeatInterval{250};
+/// Interval for each other VM, so that a VM receives at most a hundred heartbeats a second.
+inline constexpr milliseconds heartbeatShare{10};
+/// A VM that missed this many heartbeats is not alive.
+inline constexpr int silentHeartbeats = 3;
 
 /// The daemon of one VM.
 /// @tparam Platform names the store's client, the order sender and the caller protocol, and
@@ -72,23 +76,34 @@
         , m_duty(loop, m_store, m_orders,
                  {.controller = {.self = m_settings.vm, .incarnation = m_incarnation},
                   .topic = Platform::fleetTopic},
-                 {.onProgress = [this] { m_progressTimer.startOnce(progressDelay); },
+                 {.isCandidate =
+                      [this] {
+                          return m_view.rankOf(Platform::fleetTopic, m_loop.now())
+                              < controllerCandidates;
+                      },
+                  .onProgress = [this] { m_progressTimer.startOnce(progressDelay); },
                   .onAppended =
                       [this](const KeyedRecord &record) { m_fleetFollower.onAppended(record); }})
         , m_operatorFollower(loop, m_store,
                              {.topic = Platform::operatorTopic, .wait = milliseconds(1200)},
                              handlersOf("configuration", m_operatorLost,
-                                        [this](const auto &record) { onOperatorRecord(record); },
+                                        [this](const auto &record) {
+                                            onOperatorRecord(record);
+                                            return true;
+                                        },
                                         [this](const auto &records) { onOperatorSnapshot(records); }))
         , m_serverFollower(loop, m_store,
                            {.topic = Platform::serverTopic, .pause = milliseconds(500)},
                            handlersOf("servers", m_serversLost,
-                                      [this](const auto &record) { onServerRecord(record); },
+                                      [this](const auto &record) { return onServerRecord(record); },
                                       [this](const auto &records) { onServerSnapshot(records); }))
         , m_fleetFollower(loop, m_store,
                           {.topic = Platform::fleetTopic, .wait = milliseconds(2000)},
                           handlersOf("fleet", m_fleetLost,
-                                     [this](const auto &record) { onFleetRecord(record); },
+                                     [this](const auto &record) {
+                                         onFleetRecord(record);
+                                         return true;
+                                     },
                                      [this](const auto &records) { onFleetSnapshot(records); }))
         , m_tickTimer(loop, [this] { tick(); })
         , m_heartbeatTimer(loop, [this] { sendHeartbeat(); })
@@ -132,7 +147,7 @@
         m_fleetFollower.start();
         m_duty.start();
         m_tickTimer.startRepeating(tickInterval);
-        m_heartbeatTimer.startRepeating(heartbeatInterval);
+        m_heartbeatTimer.startOnce(heartbeatInterval);
         m_controlTimer.startRepeating(controlInterval);
         logEvent(LogLevel::Info, "started", {{"incarnation", m_incarnation}});
         return {};
@@ -161,6 +176,7 @@
     static constexpr milliseconds serverSilence{600};
     static constexpr milliseconds tickInterval{25};
     static constexpr milliseconds controlInterval{100};
+    static constexpr std::size_t controllerCandidates = 4; ///< VMs that are ready for the duty
     static constexpr milliseconds progressDelay{4}; ///< orders that end together count as one
     static constexpr double retryPart = 0.7; ///< of the allowed retries, for arrivals not counted
     static constexpr double expectedVms = 10.0;
@@ -279,33 +295,39 @@
         m_serversChanged = true;
     }
 
-    auto onServerRecord(const KeyedRecord &record) -> void
+    // Returns whether anything but the sequence of the announcement changed.
+    auto onServerRecord(const KeyedRecord &record) -> bool
     {
         const auto now = m_loop.now();
         const auto id = BackendServerId(record.key);
         if (!record.value) {
             removeServer(id, now);
-            return;
+            return true;
         }
-        const auto entry = settle([&] { return Platform::decodeServerEntry(record); });
-        if (!entry) {
+        const auto decoded = settle([&] { return Platform::decodeServerEntry(record); });
+        if (!decoded) {
             logEvent(LogLevel::Warning, "server-entry-unreadable",
-                     {{"server", record.key}, {"error", describe(entry.error())}});
+                     {{"server", record.key}, {"error", describe(decoded.error())}});
             removeServer(id, now);
-            return;
+            return true;
         }
+        const auto &entry = decoded.value();
         const auto *known = m_registry.find(id);
-        const auto changed = known == nullptr || known->entry.draining != entry.value().draining
-            || known->entry.bornUnixMs != entry.value().bornUnixMs
-            || known->coldUntil > now || entry.value().coldRemaining > milliseconds(0);
-        m_registry.announce(entry.value(), now);
+        const auto isNew = known == nullptr || known->entry.bornUnixMs != entry.bornUnixMs;
+        const auto leaves = entry.draining && (isNew || !known->entry.draining);
+        const auto changed = isNew || leaves || known->entry.address != entry.address
+            || known->entry.slots != entry.slots || known->coldUntil > now
+            || entry.coldRemaining > milliseconds(0) || m_registry.isToBeRemoved(id);
+        m_registry.announce(entry, now);
         m_serversChanged = m_serversChanged || changed;
-        if (known == nullptr || entry.value().draining) {
+        if (isNew || leaves) {
             logEvent(LogLevel::Info, "server",
                      {{"server", record.key},
-                      {"service", entry.value().service.value()},
-                      {"draining", entry.value().draining}});
+                      {"service", entry.service.value()},
+                      {"born", entry.bornUnixMs},
+                      {"draining", entry.draining}});
         }
+        return changed;
     }
 
     auto removeServer(const BackendServerId &id, TimePoint now) -> void
@@ -377,7 +399,6 @@
     auto countKey(const ServiceId &service, ShardKey key) -> void
     {
         m_keyCounts[{service, key}] += 1;
-        addLoad(service, key, 1);
     }
 
     auto addLoad(const ServiceId &service, ShardKey key, std::uint32_t requests) -> void
@@ -398,20 +419,18 @@
                          .heardAt = now,
                          .leaving = heartbeat->leaving});
             m_limits.report(message.from, message.incarnation, heartbeat->uses, now);
-            for (const auto &count : heartbeat->keys) {
-                addLoad(count.service, count.key, count.requests);
-            }
-            for (const auto &[server, time] : heartbeat->serviceTimes) {
-                m_serviceTimes[server] = time;
-            }
             for (auto *follower : followers()) {
                 const auto end = heartbeat->topicEnds.find(follower->topic());
-                if (end != heartbeat->topicEnds.end() && end->second > follower->end()) {
-                    follower->hurry();
+                if (end != heartbeat->topicEnds.end()) {
+                    follower->onAhead(end->second);
                 }
             }
             return;
         }
+        if (const auto *report = std::get_if<WorkReport>(&message.payload)) {
+            takeWork(*report);
+            return;
+        }
         if (const auto *update = std::get_if<TopicUpdate>(&message.payload)) {
             for (auto *follower : followers()) {
                 if (follower->topic() == update->topic) {
@@ -435,26 +454,46 @@
                 {m_fleetFollower.topic(), m_fleetFollower.end()}};
     }
 
-    auto sendHeartbeat() -> void
+    auto takeWork(const WorkReport &report) -> void
     {
-        const auto now = m_loop.now();
-        auto heartbeat = Heartbeat{.leaving = m_leaving,
-                                   .topicEnds = topicEnds(),
-                                   .uses = m_limits.uses(now),
-                                   .serviceTimes = m_slots.serviceTimes()};
-        for (const auto &[key, requests] : std::exchange(m_keyCounts, {})) {
-            heartbeat.keys.push_back(
-                {.service = key.first, .key = key.second, .requests = requests});
+        for (const auto &count : report.keys) {
+            addLoad(count.service, count.key, count.requests);
         }
-        for (const auto &[server, time] : heartbeat.serviceTimes) {
+        for (const auto &[server, time] : report.serviceTimes) {
             m_serviceTimes[server] = time;
         }
-        m_link->sendToAll(heartbeat);
-        m_limits.setFleetSize(m_view.aliveCount(now));
+    }
+
+    auto sendHeartbeat() -> void
+    {
+        const auto now = m_loop.now();
+        const auto vms = m_view.aliveCount(now);
+        m_limits.setFleetSize(vms);
+        m_link->sendToAll(Heartbeat{.leaving = m_leaving,
+                                    .topicEnds = topicEnds(),
+                                    .uses = m_limits.takeUses(now)});
+        sendWork();
         if (!m_announced && now >= m_announceAt) {
             m_announceAt = now + milliseconds(1500);
             announceSelf();
         }
+        const auto interval =
+            std::max(heartbeatInterval, heartbeatShare * static_cast<int>(m_view.members().size()));
+        m_view.setSilence(interval * silentHeartbeats + heartbeatInterval);
+        m_heartbeatTimer.startOnce(interval);
+    }
+
+    auto sendWork() -> void
+    {
+        auto report = WorkReport{.serviceTimes = m_slots.serviceTimes()};
+        for (const auto &[key, requests] : std::exchange(m_keyCounts, {})) {
+            report.keys.push_back({.service = key.first, .key = key.second, .requests = requests});
+        }
+        if (m_ownership.claim.vm == m_settings.vm) {
+            takeWork(report);
+        } else {
+            m_link->send(m_ownership.claim.vm, report);
+        }
     }
 
     auto tick() -> void
--- a/src/gateway/key_duty.h
+++ b/src/gateway/key_duty.h
@@ -38,6 +38,8 @@
 /// Events of KeyDuty.
 struct KeyDutyHandlers
 {
+    /// Returns whether this VM should offer itself; a few of the fleet are enough.
+    std::function<bool()> isCandidate;
     /// There may be something to decide before the next tick.
     std::function<void()> onProgress;
     std::function<void(const KeyedRecord &)> onAppended;
@@ -118,6 +120,10 @@
         if (std::exchange(m_resigned, false)) {
             return; // another member takes the duty in the meantime
         }
+        if (!m_controller.active() && !m_handlers.isCandidate()) {
+            m_controller.setDuty(false);
+            return; // a membership that is not renewed ends
+        }
         m_store.joinGroup(groupRequest(), [this, sentAt = m_loop.now()](Settled<bool> holds) {
             if (holds && !m_left) {
                 m_controller.onStoreContact(sentAt);
--- a/src/gateway/keyed_follower.h
+++ b/src/gateway/keyed_follower.h
@@ -25,6 +25,7 @@
     milliseconds wait{}; ///< longest time that the store holds back an empty answer
     milliseconds pause{}; ///< between two reads; bounds the calls of a topic that never rests
     milliseconds retryPause{250}; ///< after a failed read
+    milliseconds catchUpPause{200}; ///< time for missing records to be passed on, before a read
 };
 
 /// Questions and events of KeyedFollower.
@@ -32,7 +33,8 @@
 {
     /// The newest record of each key; keys that are missing do not exist.
     std::function<void(const std::vector<KeyedRecord> &)> onSnapshot;
-    std::function<void(const KeyedRecord &)> onRecord;
+    /// Returns whether the record changed anything; others need not be told of one that did not.
+    std::function<bool(const KeyedRecord &)> onRecord;
     /// After each successful read of the store.
     std::function<void(TimePoint sentAt, LogOffset end)> onRead;
     std::function<void(const Error &)> onFailure;
@@ -55,6 +57,7 @@
         , m_handlers(std::move(handlers))
         , m_schedule({.period = m_options.wait + m_options.pause})
         , m_timer(loop, [this] { readNext(); })
+        , m_catchUpTimer(loop, [this] { catchUp(); })
     { }
     KeyedFollower(const KeyedFollower &) = delete;
     auto operator=(const KeyedFollower &) -> KeyedFollower & = delete;
@@ -70,14 +73,22 @@
             readNext();
         }
     }
+    /// Notes that another VM has read up to @p end.
+    auto onAhead(LogOffset end) -> void
+    {
+        m_aheadEnd = std::max(m_aheadEnd, end);
+        if (m_known && m_aheadEnd > m_next && !m_catchUpTimer.active()) {
+            m_catchUpTimer.startOnce(m_options.catchUpPause);
+        }
+    }
     /// Takes what another VM has read.
     auto onRelayed(const TopicUpdate &update) -> void
     {
         if (!m_known || update.next < m_next) {
             return;
         }
-        if (!takeRecords(update)) {
-            hurry();
+        if (!takeRelayed(update)) {
+            onAhead(update.next);
             return;
         }
         m_schedule.onRelayed(m_loop.now());
@@ -88,12 +99,9 @@
     /// Takes a record that this VM has appended, and passes it on.
     auto onAppended(const KeyedRecord &record) -> void
     {
-        const auto update = TopicUpdate{.topic = m_options.topic,
-                                        .from = record.offset,
-                                        .next = record.offset + 1,
-                                        .records = {record}};
-        takeRecords(update);
-        relayAll(update);
+        if (m_known && record.offset == m_next) {
+            takeRead({record}, record.offset + 1);
+        }
     }
     /// Returns the offset after the last known record.
     [[nodiscard]] auto end() const -> LogOffset
@@ -122,59 +130,64 @@
                      [this, sentAt](Settled<KeyedPage> page) { onPage(sentAt, page); });
     }
 
-    auto scheduleRead(Duration pause) -> void
+    auto scheduleRead(Duration pause, bool failed = false) -> void
     {
         m_timer.startOnce(
-            m_schedule.delay(m_handlers.rank(m_options.topic), pause, m_loop.now()));
+            m_schedule.delay(m_handlers.rank(m_options.topic), pause, failed, m_loop.now()));
+    }
+
+    auto catchUp() -> void
+    {
+        if (m_aheadEnd > m_next) {
+            hurry();
+        }
     }
 
     // Applies the records that are new. Returns false if some before them are missing.
-    auto takeRecords(const TopicUpdate &update) -> bool
+    auto takeRelayed(const TopicUpdate &update) -> bool
     {
-        const auto whole = update.records.size() == update.next - update.from;
-        if (update.from > m_next || (!whole && update.next > m_next)) {
+        if (update.from > m_next || (!update.whole && update.next > m_next)) {
             return false;
         }
         for (const auto &record : update.records) {
-            if (record.offset == m_next) {
-                m_next += 1;
+            if (record.offset >= m_next) {
                 m_handlers.onRecord(record);
             }
         }
+        m_next = std::max(m_next, update.next);
         return true;
     }
 
-    // Passes records on in datagrams of bounded size.
-    auto relayAll(const TopicUpdate &update) -> void
+    // Applies records that were read and passes on those that changed something.
+    auto takeRead(const std::vector<KeyedRecord> &records, LogOffset next) -> void
     {
-        auto part = TopicUpdate{.topic = update.topic, .from = update.from, .next = update.from};
+        auto part = TopicUpdate{.topic = m_options.topic, .from = m_next, .next = m_next};
         auto bytes = std::size_t{0};
-        const auto flush = [&] {
-            m_handlers.relay(part);
-            part.from = part.next;
-            part.records.clear();
-            bytes = 0;
-        };
-        for (const auto &record : update.records) {
-            const auto size = record.key.size() + record.value.value_or("").size();
-            if (size > maxRelayBytes) {
-                if (!part.records.empty()) {
-                    flush();
-                }
-                part.next = record.offset + 1;
-                flush();
+        for (const auto &record : records) {
+            if (record.offset < m_next) {
+                continue; // passed on meanwhile
+            }
+            m_next = record.offset + 1;
+            if (!m_handlers.onRecord(record)) {
                 continue;
             }
-            if (bytes + size > maxRelayBytes) {
-                flush();
+            const auto size = record.key.size() + record.value.value_or("").size();
+            if (bytes > 0 && bytes + size > maxRelayBytes) {
+                m_handlers.relay(part);
+                part = {.topic = m_options.topic, .from = part.next, .next = part.next};
+                bytes = 0;
+            }
+            if (size > maxRelayBytes) {
+                part.whole = false;
+            } else {
+                part.records.push_back(record);
             }
-            part.records.push_back(record);
-            part.next = record.offset + 1;
             bytes += size;
+            part.next = record.offset + 1;
         }
-        if (!part.records.empty() || update.records.empty()) {
-            flush();
-        }
+        m_next = std::max(m_next, next);
+        part.next = m_next;
+        m_handlers.relay(part);
     }
 
     auto onSnapshot(TimePoint sentAt, const Settled<KeyedSnapshot> &snapshot) -> void
@@ -193,16 +206,13 @@
     auto onPage(TimePoint sentAt, const Settled<KeyedPage> &page) -> void
     {
         if (!page) {
-            m_known = m_known && page.error().code != ErrorCode::OffsetGap;
+            // Many old records may not arrive in time over a slow link; the newest ones do.
+            const auto code = page.error().code;
+            m_known = m_known && code != ErrorCode::OffsetGap && code != ErrorCode::Timeout;
             onFailure(page.error());
             return;
         }
-        auto update = TopicUpdate{.topic = m_options.topic,
-                                  .from = page.value().next - page.value().records.size(),
-                                  .next = page.value().next,
-                                  .records = page.value().records};
-        takeRecords(update);
-        relayAll(update);
+        takeRead(page.value().records, page.value().next);
         const auto caughtUp = m_next >= page.value().end;
         if (!caughtUp) {
             m_timer.startOnce(Duration::zero());
@@ -216,7 +226,7 @@
     auto onFailure(const Error &error) -> void
     {
         m_handlers.onFailure(error);
-        scheduleRead(m_options.retryPause);
+        scheduleRead(m_options.retryPause, true);
     }
 
     EventLoop &m_loop;
@@ -225,6 +235,8 @@
     KeyedFollowerHandlers m_handlers;
     RelaySchedule m_schedule;
     Timer m_timer;
+    Timer m_catchUpTimer;
+    LogOffset m_aheadEnd = 0; ///< another VM has read up to here
     bool m_known = false;
     LogOffset m_next = 0;
 };
