--- a/include/figlanding/gateway/fleet_view.h
+++ b/include/figlanding/gateway/fleet_view.h
@@ -42,7 +42,8 @@
     FleetView(VmId self, const FleetViewOptions &options);
 
     /// Learns a member's address from the store.
-    auto learn(const VmId &vm, const std::string &incarnation, const SocketAddress &address) -> void;
+    auto learn(const VmId &vm, const std::string &incarnation, const SocketAddress &address)
+        -> void;
     /// Notes a message of a member.
     auto hear(const FleetMember &member) -> void;
     /// Returns the members other than this VM.
--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -231,8 +231,8 @@
                   TimePoint now) -> void;
     auto record(const ServiceId &id, Service &service, const ControllerInputs &inputs,
                 TimePoint now, std::vector<ControllerAction> &actions) -> void;
-    auto renew(const ServiceId &id, Service &service, const ControllerInputs &inputs,
-               TimePoint now, std::vector<ControllerAction> &actions) -> void;
+    auto renew(const ServiceId &id, Service &service, const ControllerInputs &inputs, TimePoint now,
+               std::vector<ControllerAction> &actions) -> void;
     [[nodiscard]] auto awaitsServers(Service &service, std::size_t candidateCount,
                                      TimePoint now) const -> bool;
     [[nodiscard]] auto candidates(const ServiceId &id, const ControllerInputs &inputs,
--- a/include/figlanding/gateway/key_ownership.h
+++ b/include/figlanding/gateway/key_ownership.h
@@ -67,9 +67,7 @@
 /// Returns whether the ranges cover all keys in order, without gaps or overlaps.
 [[nodiscard]] auto isComplete(const OwnershipTable &table) -> bool;
 /// Splits ranges so that @p keys begins and ends at range ends.
-[[nodiscard]] auto splitAround(OwnershipTable table, const KeyRange &keys) -> OwnershipTable;
-/// Joins neighbours that have the same owner, fence and no hand-over token.
-[[nodiscard]] auto joinNeighbours(OwnershipTable table) -> OwnershipTable;
+[[nodiscard]] auto splitAround(const OwnershipTable &table, const KeyRange &keys) -> OwnershipTable;
 
 /// A server that may own keys.
 struct OwnerCandidate
@@ -95,7 +93,8 @@
 {
     double baseLoadPerKey = 1e-4; ///< load that a key has without requests; spreads idle keys
     double tolerance = 1.35; ///< load above this multiple of a server's fair share is moved
-    /// Load for its capacity below which a server is left as it is: moves cost more than they bring.
+    /// Load for its capacity below which a server is left as it is: moves cost more than they
+    /// bring.
     double busyLoad = 5.0;
     double idlePart = 0.3; ///< a server below this part of its fair share gets keys in any case
     double leastGain = 0.15; ///< part of the wanted load that a move must bring
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -43,15 +43,17 @@
     for (const auto &server : message.excluded) {
         excluded.push_back(server.value());
     }
-    return {static_cast<int>(Kind::Ask), message.ticket, message.service.value(),
-            message.owner.value(), std::move(excluded), message.priority, message.zone.value(),
-            message.waited.count(), message.objectiveIn.count(), message.deadlineIn.count()};
+    return {static_cast<int>(Kind::Ask), message.ticket,         message.service.value(),
+            message.owner.value(),       std::move(excluded),    message.priority,
+            message.zone.value(),        message.waited.count(), message.objectiveIn.count(),
+            message.deadlineIn.count()};
 }
 
 auto toJson(const SlotAnswer &message) -> json
 {
-    return {static_cast<int>(Kind::Answer), message.ticket, static_cast<int>(message.state),
-            message.server.server.value(), message.server.bornUnixMs, message.retryAfter.count()};
+    return {static_cast<int>(Kind::Answer),  message.ticket,
+            static_cast<int>(message.state), message.server.server.value(),
+            message.server.bornUnixMs,       message.retryAfter.count()};
 }
 
 auto toJson(const SlotDone &message) -> json
@@ -75,15 +77,18 @@
         }
         records.push_back(std::move(row));
     }
-    return {static_cast<int>(Kind::Topic), message.topic,  message.from, message.next,
-            std::move(records),            message.whole};
+    return {static_cast<int>(Kind::Topic),
+            message.topic,
+            message.from,
+            message.next,
+            std::move(records),
+            message.whole};
 }
 
 auto heartbeatFrom(const json &fields) -> Heartbeat
 {
-    auto message =
-        Heartbeat{.leaving = fields.at(1).get<bool>(),
-                  .topicEnds = fields.at(2).get<std::map<std::string, LogOffset>>()};
+    auto message = Heartbeat{.leaving = fields.at(1).get<bool>(),
+                             .topicEnds = fields.at(2).get<std::map<std::string, LogOffset>>()};
     for (const auto &row : fields.at(3)) {
         message.uses.emplace(TeamId(row.at(0).get<std::string>()),
                              TeamUse{.admitted = row.at(1).get<std::uint64_t>(),
--- a/src/core/gateway/fleet_records.cpp
+++ b/src/core/gateway/fleet_records.cpp
@@ -49,12 +49,11 @@
 {
     auto table = OwnershipTable{};
     for (const auto &row : rows) {
-        table.ranges.push_back(
-            {.keys = {row.at(0).get<ShardKey>(), row.at(1).get<ShardKey>()},
-             .owner = {.server = BackendServerId(row.at(2).get<std::string>()),
-                       .bornUnixMs = row.at(3).get<std::int64_t>()},
-             .fence = row.at(4).get<Fence>(),
-             .handOver = row.at(5).get<std::string>()});
+        table.ranges.push_back({.keys = {row.at(0).get<ShardKey>(), row.at(1).get<ShardKey>()},
+                                .owner = {.server = BackendServerId(row.at(2).get<std::string>()),
+                                          .bornUnixMs = row.at(3).get<std::int64_t>()},
+                                .fence = row.at(4).get<Fence>(),
+                                .handOver = row.at(5).get<std::string>()});
     }
     if (!isComplete(table)) {
         return fail(ErrorCode::InvalidValue, "table of " + service.value() + " has gaps");
--- a/src/core/gateway/fleet_view.cpp
+++ b/src/core/gateway/fleet_view.cpp
@@ -73,8 +73,8 @@
     return before;
 }
 
-auto FleetView::home(std::string_view subject, TimePoint now,
-                     const std::set<VmId> &excluded) const -> VmId
+auto FleetView::home(std::string_view subject, TimePoint now, const std::set<VmId> &excluded) const
+    -> VmId
 {
     auto best = m_self;
     auto bestRank = m_leaving ? std::uint64_t{0} : rank(subject, m_self);
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -17,8 +17,8 @@
 
 auto KeyController::leaseWithDrift() const -> Duration
 {
-    const auto lease = std::chrono::duration<double, std::milli>(m_options.lease)
-        * (1.0 + m_options.clockDrift);
+    const auto lease =
+        std::chrono::duration<double, std::milli>(m_options.lease) * (1.0 + m_options.clockDrift);
     return std::chrono::duration_cast<Duration>(lease) + m_options.margin;
 }
 
@@ -270,8 +270,9 @@
     for (const auto &id : inputs.keyedServices) {
         auto &service = m_services[id];
         if (service.ranges.empty()) {
-            service.ranges.push_back(
-                {.owned = unownedTable().ranges.front(), .phase = Phase::Free, .needsFence = false});
+            service.ranges.push_back({.owned = unownedTable().ranges.front(),
+                                      .phase = Phase::Free,
+                                      .needsFence = false});
             service.rebalancedAt = now;
         }
         tickService(id, service, inputs, now, actions);
@@ -306,8 +307,7 @@
     if (server != nullptr && server->entry.bornUnixMs != range.owned.owner.bornUnixMs) {
         return true; // a new life of the server holds nothing
     }
-    const auto silent =
-        server == nullptr || now - server->heardAt > m_options.silentAnnouncements;
+    const auto silent = server == nullptr || now - server->heardAt > m_options.silentAnnouncements;
     return silent && range.closedPort >= closedPortsToEnd;
 }
 
@@ -383,13 +383,13 @@
     service.ranges = std::move(result);
 }
 
-auto KeyController::rebalance(const ServiceId &id, Service &service,
-                              const ControllerInputs &inputs, TimePoint now,
-                              std::vector<ControllerAction> &actions) -> void
+auto KeyController::rebalance(const ServiceId &id, Service &service, const ControllerInputs &inputs,
+                              TimePoint now, std::vector<ControllerAction> &actions) -> void
 {
-    const auto inMotion = std::count_if(
-        service.ranges.begin(), service.ranges.end(),
-        [](const Range &range) { return range.phase != Phase::Held && !range.owned.owner.server.empty(); });
+    const auto inMotion =
+        std::count_if(service.ranges.begin(), service.ranges.end(), [](const Range &range) {
+            return range.phase != Phase::Held && !range.owned.owner.server.empty();
+        });
     const auto loads = inputs.loads.find(id);
     if (inMotion > 0 || m_append || now - service.rebalancedAt < m_options.rebalanceInterval) {
         return;
@@ -446,8 +446,8 @@
 
 // Servers announce themselves one after the other when all start at once. Keys given to the first
 // one would have to move again.
-auto KeyController::awaitsServers(Service &service, std::size_t candidateCount,
-                                  TimePoint now) const -> bool
+auto KeyController::awaitsServers(Service &service, std::size_t candidateCount, TimePoint now) const
+    -> bool
 {
     if (service.hadOwners || candidateCount == 0) {
         return false;
@@ -533,8 +533,7 @@
                           TimePoint now, std::vector<ControllerAction> &actions) -> void
 {
     for (auto &range : service.ranges) {
-        const auto gaveUp =
-            range.lostSince && now - *range.lostSince > m_options.unreachableAfter;
+        const auto gaveUp = range.lostSince && now - *range.lostSince > m_options.unreachableAfter;
         const auto leaving = [&] {
             const auto *server = inputs.registry.find(range.owned.owner.server);
             return server == nullptr || server->entry.bornUnixMs != range.owned.owner.bornUnixMs;
--- a/src/core/gateway/key_ownership.cpp
+++ b/src/core/gateway/key_ownership.cpp
@@ -67,10 +67,11 @@
     // Warm servers go before cold ones.
     auto leastLoaded() -> Row &
     {
-        return *std::min_element(m_rows.begin(), m_rows.end(), [](const Row &left, const Row &right) {
-            return std::pair(left.candidate->cold, left.relative())
-                < std::pair(right.candidate->cold, right.relative());
-        });
+        return *std::min_element(m_rows.begin(), m_rows.end(),
+                                 [](const Row &left, const Row &right) {
+                                     return std::pair(left.candidate->cold, left.relative())
+                                         < std::pair(right.candidate->cold, right.relative());
+                                 });
     }
     // Returns null if no server is left that could give something away.
     auto mostLoaded() -> Row *
@@ -196,7 +197,7 @@
 
 auto withOwner(OwnershipTable table, const PlannedMove &move) -> OwnershipTable
 {
-    table = splitAround(std::move(table), move.keys);
+    table = splitAround(table, move.keys);
     for (auto &range : table.ranges) {
         if (range.keys.from >= move.keys.from && range.keys.to <= move.keys.to) {
             range.owner = move.to;
@@ -232,10 +233,10 @@
     return next == shardKeyCount;
 }
 
-auto splitAround(OwnershipTable table, const KeyRange &keys) -> OwnershipTable
+auto splitAround(const OwnershipTable &table, const KeyRange &keys) -> OwnershipTable
 {
     auto result = OwnershipTable{};
-    for (auto &range : table.ranges) {
+    for (const auto &range : table.ranges) {
         auto rest = range;
         for (const auto cut : {keys.from, keys.to + 1}) {
             if (cut > rest.keys.from && cut <= rest.keys.to) {
@@ -250,23 +251,6 @@
     return result;
 }
 
-auto joinNeighbours(OwnershipTable table) -> OwnershipTable
-{
-    auto result = OwnershipTable{};
-    for (auto &range : table.ranges) {
-        if (!result.ranges.empty()) {
-            auto &last = result.ranges.back();
-            if (last.owner == range.owner && last.fence == range.fence && last.handOver.empty()
-                && range.handOver.empty()) {
-                last.keys.to = range.keys.to;
-                continue;
-            }
-        }
-        result.ranges.push_back(std::move(range));
-    }
-    return result;
-}
-
 auto planUnowned(const OwnershipTable &table, std::span<const OwnerCandidate> candidates,
                  std::span<const float> loads, const KeyPlanOptions &options)
     -> std::vector<PlannedMove>
@@ -336,7 +320,8 @@
         }
         const auto wanted = std::min(excess, room);
         const auto fits = [&](const std::optional<KeyRange> &part) {
-            return part && (to.load + book.loadOf(*part)) / to.candidate->capacity < from->relative();
+            return part
+                && (to.load + book.loadOf(*part)) / to.candidate->capacity < from->relative();
         };
         auto part = shortestRun(planned, book, from->candidate->life, wanted);
         if (!fits(part)) {
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -110,8 +110,7 @@
     constexpr auto maxDoublings = 4U;
     auto &trouble = server.troubles[zone];
     const auto factor = std::exp2(std::min(trouble.losses, maxDoublings));
-    const auto pause =
-        std::min(toMs(m_options.firstPause) * factor, toMs(m_options.longestPause));
+    const auto pause = std::min(toMs(m_options.firstPause) * factor, toMs(m_options.longestPause));
     trouble.losses += 1;
     trouble.probes = 0;
     trouble.pausedUntil = now + fromMs(pause);
@@ -141,8 +140,8 @@
         const auto sample =
             toMs(result.elapsed) / std::max(1.0, result.load ? result.load->slowness : 1.0);
         const auto update = [&](double &average, double value) {
-            average = average == 0.0 ? value
-                                     : average + m_options.serviceTimeWeight * (value - average);
+            average =
+                average == 0.0 ? value : average + m_options.serviceTimeWeight * (value - average);
         };
         update(server.averageMs, sample);
         update(server.grossMs, toMs(result.elapsed));
--- a/src/gateway/datagram_socket.cpp
+++ b/src/gateway/datagram_socket.cpp
@@ -54,7 +54,8 @@
     }
     auto socket = FileDescriptor(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (socket.get() < 0
-        || ::bind(socket.get(), reinterpret_cast<const sockaddr *>(&*native), sizeof *native) != 0) {
+        || ::bind(socket.get(), reinterpret_cast<const sockaddr *>(&*native), sizeof *native)
+            != 0) {
         return fail(ErrorCode::IoFailure,
                     "bind UDP " + toText(address) + ": " + std::system_category().message(errno));
     }
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -18,11 +18,11 @@
     const auto address = options.address;
     auto link =
         std::unique_ptr<FleetLink>(new FleetLink(std::move(options), view, std::move(handler)));
-    BOOST_LEAF_ASSIGN(link->m_socket,
-                      DatagramSocket::bind(loop, address,
-                                           [self = link.get()](auto bytes, const auto &from) {
-                                               self->receive(bytes, from);
-                                           }));
+    BOOST_LEAF_ASSIGN(
+        link->m_socket,
+        DatagramSocket::bind(loop, address, [self = link.get()](auto bytes, const auto &from) {
+            self->receive(bytes, from);
+        }));
     return link;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,29 +47,28 @@
         , m_metrics(m_settings.vm)
         , m_requestLog(m_metrics)
         , m_storeClient(loop, {.tcpUserTimeout = storeSilence})
-        , m_serverClient(loop,
-                         {.tcpUserTimeout = serverSilence, .acceptsCloseDelimited = true})
+        , m_serverClient(loop, {.tcpUserTimeout = serverSilence, .acceptsCloseDelimited = true})
         , m_orderClient(loop, {.tcpUserTimeout = serverSilence})
         , m_store(m_storeClient, m_settings.store)
         , m_orders(m_orderClient)
         , m_view(m_settings.vm, {})
         , m_limits({})
-        , m_slots({.self = m_settings.vm,
-                   .zone = m_settings.zone,
-                   .broker = {},
-                   .randomSeed = std::random_device{}()},
-                  m_view,
-                  {.send = [this](const auto &vm, const auto &payload) { m_link->send(vm, payload); },
-                   .decided =
-                       [this](auto ticket, const auto &outcome) { m_path.onSlot(ticket, outcome); }})
+        , m_slots(
+              {.self = m_settings.vm,
+               .zone = m_settings.zone,
+               .broker = {},
+               .randomSeed = std::random_device{}()},
+              m_view,
+              {.send = [this](const auto &vm, const auto &payload) { m_link->send(vm, payload); },
+               .decided = [this](auto ticket,
+                                 const auto &outcome) { m_path.onSlot(ticket, outcome); }})
         , m_path(loop, m_serverClient, m_slots, m_limits,
                  {.retryRatio = m_settings.retryRatio * retryPart,
                   .retryReserve = m_settings.retryReserve * retryPart / expectedVms,
                   .randomSeed = std::random_device{}()},
                  {.state = [this] { return m_state; },
                   .registry = [this]() -> const ServerRegistry & { return m_registry; },
-                  .owner = [this](const auto &service,
-                                  auto key) { return ownerOf(service, key); },
+                  .owner = [this](const auto &service, auto key) { return ownerOf(service, key); },
                   .onKey = [this](const auto &service, auto key) { countKey(service, key); },
                   .onStaleOwner = [this] { m_fleetFollower.hurry(); },
                   .onEnd = [this](const RequestRecord &record) { m_requestLog.add(record); }})
@@ -86,25 +85,28 @@
                       [this](const KeyedRecord &record) { m_fleetFollower.onAppended(record); }})
         , m_operatorFollower(loop, m_store,
                              {.topic = Platform::operatorTopic, .wait = milliseconds(1200)},
-                             handlersOf("configuration", m_operatorLost,
-                                        [this](const auto &record) {
-                                            onOperatorRecord(record);
-                                            return true;
-                                        },
-                                        [this](const auto &records) { onOperatorSnapshot(records); }))
+                             handlersOf(
+                                 "configuration", m_operatorLost,
+                                 [this](const auto &record) {
+                                     onOperatorRecord(record);
+                                     return true;
+                                 },
+                                 [this](const auto &records) { onOperatorSnapshot(records); }))
         , m_serverFollower(loop, m_store,
                            {.topic = Platform::serverTopic, .pause = milliseconds(500)},
-                           handlersOf("servers", m_serversLost,
-                                      [this](const auto &record) { return onServerRecord(record); },
-                                      [this](const auto &records) { onServerSnapshot(records); }))
+                           handlersOf(
+                               "servers", m_serversLost,
+                               [this](const auto &record) { return onServerRecord(record); },
+                               [this](const auto &records) { onServerSnapshot(records); }))
         , m_fleetFollower(loop, m_store,
                           {.topic = Platform::fleetTopic, .wait = milliseconds(2000)},
-                          handlersOf("fleet", m_fleetLost,
-                                     [this](const auto &record) {
-                                         onFleetRecord(record);
-                                         return true;
-                                     },
-                                     [this](const auto &records) { onFleetSnapshot(records); }))
+                          handlersOf(
+                              "fleet", m_fleetLost,
+                              [this](const auto &record) {
+                                  onFleetRecord(record);
+                                  return true;
+                              },
+                              [this](const auto &records) { onFleetSnapshot(records); }))
         , m_tickTimer(loop, [this] { tick(); })
         , m_heartbeatTimer(loop, [this] { sendHeartbeat(); })
         , m_controlTimer(loop, [this] { control(); })
@@ -118,11 +120,11 @@
     auto start() -> Result<void>
     {
         BOOST_LEAF_ASSIGN(
-            m_link, FleetLink::open(m_loop,
-                                    {.self = m_settings.vm,
-                                     .incarnation = m_incarnation,
-                                     .address = m_settings.fleet},
-                                    m_view, [this](const auto &delivery) { onMessage(delivery); }));
+            m_link,
+            FleetLink::open(
+                m_loop,
+                {.self = m_settings.vm, .incarnation = m_incarnation, .address = m_settings.fleet},
+                m_view, [this](const auto &delivery) { onMessage(delivery); }));
         BOOST_LEAF_ASSIGN(m_callerServer,
                           HttpServer::listen(m_loop,
                                              {.address = m_settings.callers,
@@ -206,33 +208,32 @@
     auto handlersOf(const char *name, Lost &lost, OnRecord onRecord, OnSnapshot onSnapshot)
         -> KeyedFollowerHandlers
     {
-        return {.onSnapshot = std::move(onSnapshot),
-                .onRecord = std::move(onRecord),
-                .onRead =
-                    [this, name, &lost](TimePoint sentAt, LogOffset end) {
-                        if (const auto since = std::exchange(lost.since, std::nullopt)) {
-                            const auto now = m_loop.now();
-                            if (now - *since > outage) {
-                                lost.regainedAt = now;
-                            }
-                            logEvent(LogLevel::Info, "store-regained",
-                                     {{"topic", name}, {"offset", end}});
+        return {
+            .onSnapshot = std::move(onSnapshot),
+            .onRecord = std::move(onRecord),
+            .onRead =
+                [this, name, &lost](TimePoint sentAt, LogOffset end) {
+                    if (const auto since = std::exchange(lost.since, std::nullopt)) {
+                        const auto now = m_loop.now();
+                        if (now - *since > outage) {
+                            lost.regainedAt = now;
                         }
-                        m_duty.onStoreContact(sentAt);
-                    },
-                .onFailure =
-                    [this, name, &lost](const Error &error) {
-                        if (!lost.since) {
-                            lost.since = m_loop.now();
-                            logEvent(LogLevel::Warning, "store-lost",
-                                     {{"topic", name}, {"error", describe(error)}});
-                        }
-                    },
-                .relay = [this](const TopicUpdate &update) { m_link->sendToAll(update); },
-                .rank =
-                    [this](const std::string &topic) {
-                        return m_view.rankOf(topic, m_loop.now());
-                    }};
+                        logEvent(LogLevel::Info, "store-regained",
+                                 {{"topic", name}, {"offset", end}});
+                    }
+                    m_duty.onStoreContact(sentAt);
+                },
+            .onFailure =
+                [this, name, &lost](const Error &error) {
+                    if (!lost.since) {
+                        lost.since = m_loop.now();
+                        logEvent(LogLevel::Warning, "store-lost",
+                                 {{"topic", name}, {"error", describe(error)}});
+                    }
+                },
+            .relay = [this](const TopicUpdate &update) { m_link->sendToAll(update); },
+            .rank =
+                [this](const std::string &topic) { return m_view.rankOf(topic, m_loop.now()); }};
     }
 
     auto announceSelf() -> void
@@ -242,7 +243,7 @@
         m_store.append({.topic = Platform::fleetTopic,
                         .key = std::move(record.key),
                         .value = std::move(record.value)},
-                       [this](Settled<LogOffset> offset) {
+                       [this](const Settled<LogOffset> &offset) {
                            m_announced = static_cast<bool>(offset);
                            m_announceAt = m_loop.now() + milliseconds(500);
                        });
@@ -332,8 +333,8 @@
 
     auto removeServer(const BackendServerId &id, TimePoint now) -> void
     {
-        const auto outageRecent = m_serversLost.since
-            || now - m_serversLost.regainedAt < lapsedEntries;
+        const auto outageRecent =
+            m_serversLost.since || now - m_serversLost.regainedAt < lapsedEntries;
         const auto recent = outageRecent && m_serversLost.regainedAt != TimePoint{};
         m_registry.remove(id, recent ? now + lapsedEntries : now);
         m_serversChanged = true;
@@ -469,9 +470,8 @@
         const auto now = m_loop.now();
         const auto vms = m_view.aliveCount(now);
         m_limits.setFleetSize(vms);
-        m_link->sendToAll(Heartbeat{.leaving = m_leaving,
-                                    .topicEnds = topicEnds(),
-                                    .uses = m_limits.takeUses(now)});
+        m_link->sendToAll(Heartbeat{
+            .leaving = m_leaving, .topicEnds = topicEnds(), .uses = m_limits.takeUses(now)});
         sendWork();
         if (!m_announced && now >= m_announceAt) {
             m_announceAt = now + milliseconds(1500);
@@ -611,7 +611,8 @@
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_adminServer;
-    std::map<std::pair<ServiceId, ShardKey>, std::uint32_t> m_keyCounts; ///< since the last heartbeat
+    std::map<std::pair<ServiceId, ShardKey>, std::uint32_t>
+        m_keyCounts; ///< since the last heartbeat
     std::map<ServiceId, std::vector<float>> m_loads;
     std::map<BackendServerId, milliseconds> m_serviceTimes;
     TimePoint m_decayedAt;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -45,8 +45,7 @@
         settings.store = root.address("store");
         settings.announceInterval = root.span("announce_interval", settings.announceInterval);
         readBounds(root, settings);
-        const auto level =
-            root.choice("log_level", {"debug", "info", "warning", "error"}, "info");
+        const auto level = root.choice("log_level", {"debug", "info", "warning", "error"}, "info");
         settings.logLevel = parseLogLevel(level).value_or(LogLevel::Info);
         root.finish();
     }
--- a/src/gateway/key_duty.h
+++ b/src/gateway/key_duty.h
@@ -93,7 +93,7 @@
     {
         const auto wasActive = m_controller.active();
         for (const auto &action : m_controller.tick(inputs, m_loop.now())) {
-            std::visit([this](const auto &content) { act(content); }, action);
+            std::visit([this](const auto &content) { this->act(content); }, action);
         }
         if (wasActive != m_controller.active()) {
             logEvent(LogLevel::Info, "controller-duty", {{"active", m_controller.active()}});
@@ -110,7 +110,8 @@
     [[nodiscard]] auto groupRequest() const -> GroupRequest
     {
         return {.group = m_options.topic + "-controller",
-                .member = m_options.controller.self.value() + "-" + m_options.controller.incarnation,
+                .member =
+                    m_options.controller.self.value() + "-" + m_options.controller.incarnation,
                 .topic = m_options.topic,
                 .timeToLive = m_options.memberLifetime};
     }
@@ -124,12 +125,13 @@
             m_controller.setDuty(false);
             return; // a membership that is not renewed ends
         }
-        m_store.joinGroup(groupRequest(), [this, sentAt = m_loop.now()](Settled<bool> holds) {
-            if (holds && !m_left) {
-                m_controller.onStoreContact(sentAt);
-                m_controller.setDuty(holds.value());
-            }
-        });
+        m_store.joinGroup(groupRequest(),
+                          [this, sentAt = m_loop.now()](const Settled<bool> &holds) {
+                              if (holds && !m_left) {
+                                  m_controller.onStoreContact(sentAt);
+                                  m_controller.setDuty(holds.value());
+                              }
+                          });
     }
 
     auto append(const FleetRecord &record, LogOffset expectedEnd) -> void
@@ -140,7 +142,7 @@
              .key = encoded.key,
              .value = encoded.value,
              .expectedEnd = expectedEnd},
-            [this, encoded, expectedEnd](Settled<LogOffset> offset) {
+            [this, encoded, expectedEnd](const Settled<LogOffset> &offset) {
                 const auto now = m_loop.now();
                 if (offset) {
                     m_controller.onAppend(AppendEnd::Appended, expectedEnd, now);
@@ -152,8 +154,8 @@
                 const auto conflict = offset.error().code == ErrorCode::VersionConflict;
                 logEvent(LogLevel::Info, "ownership-append-failed",
                          {{"error", describe(offset.error())}});
-                m_controller.onAppend(conflict ? AppendEnd::Conflict : AppendEnd::Unknown, expectedEnd,
-                                      now);
+                m_controller.onAppend(conflict ? AppendEnd::Conflict : AppendEnd::Unknown,
+                                      expectedEnd, now);
             });
     }
 
@@ -174,11 +176,10 @@
     auto act(const GrantOrder &order) -> void
     {
         const auto &options = m_options.controller;
-        m_orders.grant(order, options.lease, options.callTimeout,
-                       [this, order](OrderEnd end) {
-                           logFailure("grant", order.to, order.keys, order.fence, end);
-                           m_controller.onGrant(order.id, end, m_loop.now());
-                       });
+        m_orders.grant(order, options.lease, options.callTimeout, [this, order](OrderEnd end) {
+            logFailure("grant", order.to, order.keys, order.fence, end);
+            m_controller.onGrant(order.id, end, m_loop.now());
+        });
     }
     auto act(const ReleaseOrder &order) -> void
     {
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -50,9 +50,8 @@
 
 auto RequestLog::metricsResponse() const -> HttpResponse
 {
-    return {.status = 200,
-            .headers = {{"content-type", metricsContentType}},
-            .body = m_metrics.text()};
+    return {
+        .status = 200, .headers = {{"content-type", metricsContentType}}, .body = m_metrics.text()};
 }
 
 } // namespace figlanding
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -59,7 +59,7 @@
         , m_client(client)
         , m_slots(slots)
         , m_limits(limits)
-        , m_options(std::move(options))
+        , m_options(options)
         , m_handlers(std::move(handlers))
         , m_random(m_options.randomSeed)
     { }
@@ -110,7 +110,8 @@
     {
         auto due = std::vector<std::uint64_t>{};
         for (const auto &[number, running] : m_requests) {
-            if (now >= running.deadline || (running.stage == Stage::Idle && now >= running.placeAt)) {
+            if (now >= running.deadline
+                || (running.stage == Stage::Idle && now >= running.placeAt)) {
                 due.push_back(number);
             }
         }
@@ -184,8 +185,8 @@
         const auto timeout =
             std::min(route.timeout, running.caller.deadline.value_or(route.timeout));
         running.deadline = running.receivedAt + timeout - m_options.answerMargin;
-        running.objectiveAt =
-            running.receivedAt + route.latencyObjective - m_patience.spent(route.id, running.caller);
+        running.objectiveAt = running.receivedAt + route.latencyObjective
+            - m_patience.spent(route.id, running.caller);
         running.service = pickService(route, m_uniform(m_random));
         running.record.service = running.service;
         return admitTeam(running);
@@ -222,8 +223,9 @@
         const auto *service = running.state->findService(running.service);
         if (service != nullptr && service->keyed) {
             if (!running.caller.key) {
-                refuse(number, {.reason = RefusalReason::MalformedRequest,
-                                .detail = "service " + running.service.value() + " needs a key"});
+                refuse(number,
+                       {.reason = RefusalReason::MalformedRequest,
+                        .detail = "service " + running.service.value() + " needs a key"});
                 return;
             }
             owner = m_handlers.owner(running.service, *running.caller.key);
@@ -261,8 +263,7 @@
         auto &running = m_requests.at(number);
         const auto now = m_loop.now();
         const auto *server = m_handlers.registry().find(life.server);
-        const auto timeLeft =
-            std::chrono::duration_cast<milliseconds>(running.deadline - now);
+        const auto timeLeft = std::chrono::duration_cast<milliseconds>(running.deadline - now);
         // The VM that handed out the slot may know less of the server than this one.
         const auto usable = server != nullptr && server->entry.bornUnixMs == life.bornUnixMs
             && m_handlers.registry().takesWork(*server);
@@ -317,9 +318,9 @@
             return;
         }
         const auto answer = Protocol::readAnswer(outcome.response, running.caller.id);
-        m_slots.finish(number,
-                       {.end = endOf(answer.kind), .elapsed = now - running.sentAt, .load = answer.load},
-                       now);
+        m_slots.finish(
+            number,
+            {.end = endOf(answer.kind), .elapsed = now - running.sentAt, .load = answer.load}, now);
         switch (answer.kind) {
         case AnswerKind::Success:
             respond(number, std::move(outcome.response));
@@ -331,7 +332,8 @@
             m_handlers.onStaleOwner();
             [[fallthrough]];
         case AnswerKind::NotRun:
-            running.record.detail = "server declined with " + std::to_string(outcome.response.status);
+            running.record.detail =
+                "server declined with " + std::to_string(outcome.response.status);
             retryOr(number, Verdict::NotRun, {.reason = RefusalReason::ServerDeclined});
             return;
         case AnswerKind::Foreign:
@@ -369,8 +371,8 @@
 
     [[nodiscard]] auto mayTryAgain(const Running &running, Verdict verdict) const -> bool
     {
-        const auto repeatable = verdict == Verdict::NotRun
-            || running.route->repeatability == Repeatability::Idempotent;
+        const auto repeatable =
+            verdict == Verdict::NotRun || running.route->repeatability == Repeatability::Idempotent;
         return repeatable && running.exchange && running.attempts < running.route->maxAttempts
             && m_loop.now() + m_options.leastTimeToSend < running.deadline;
     }
@@ -425,12 +427,11 @@
         }
         running.verdict = combine(running.verdict, sent ? Verdict::MayHaveRun : Verdict::NotRun);
         const auto notRun = running.verdict == Verdict::NotRun;
-        refuse(number, {.reason = notRun ? RefusalReason::QueueFull
-                                         : RefusalReason::DeadlineExceeded,
-                        .detail = notRun ? "no slot until the deadline" : "no answer in time",
-                        .verdict = running.verdict,
-                        .retryAfter = notRun ? std::optional<Duration>(milliseconds(100))
-                                             : std::nullopt});
+        refuse(number,
+               {.reason = notRun ? RefusalReason::QueueFull : RefusalReason::DeadlineExceeded,
+                .detail = notRun ? "no slot until the deadline" : "no answer in time",
+                .verdict = running.verdict,
+                .retryAfter = notRun ? std::optional<Duration>(milliseconds(100)) : std::nullopt});
     }
 
     auto respond(std::uint64_t number, HttpResponse response) -> void
@@ -491,7 +492,8 @@
             m_client.cancel(running.call);
         }
         if (running.stage != Stage::Idle) {
-            m_slots.finish(number, {.end = SlotEnd::Abandoned, .elapsed = now - running.sentAt}, now);
+            m_slots.finish(number, {.end = SlotEnd::Abandoned, .elapsed = now - running.sentAt},
+                           now);
         }
         running.record.detail = "caller left";
         end(running);
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-SlotClient::SlotClient(SlotClientOptions options, const FleetView &view, SlotClientHandlers handlers)
+SlotClient::SlotClient(SlotClientOptions options, const FleetView &view,
+                       SlotClientHandlers handlers)
     : m_options(std::move(options))
     , m_view(view)
     , m_handlers(std::move(handlers))
@@ -109,15 +110,16 @@
         deliver(m_broker);
         return;
     }
-    m_handlers.send(ticket.home, SlotAsk{.ticket = number,
-                                         .service = request.service,
-                                         .owner = request.owner,
-                                         .excluded = request.excluded,
-                                         .priority = request.priority,
-                                         .zone = request.zone,
-                                         .waited = toMs(now - request.arrivedAt),
-                                         .objectiveIn = toMs(request.objectiveAt - now),
-                                         .deadlineIn = toMs(request.deadline - now)});
+    m_handlers.send(ticket.home,
+                    SlotAsk{.ticket = number,
+                            .service = request.service,
+                            .owner = request.owner,
+                            .excluded = request.excluded,
+                            .priority = request.priority,
+                            .zone = request.zone,
+                            .waited = toMs(now - request.arrivedAt),
+                            .objectiveIn = toMs(request.objectiveAt - now),
+                            .deadlineIn = toMs(request.deadline - now)});
 }
 
 // A VM that this one hears may not hear this one.
@@ -152,10 +154,11 @@
         m_broker.finish(id, result, now);
         deliver(m_broker);
     } else {
-        m_handlers.send(entry.mapped().home, SlotDone{.ticket = ticket,
-                                                      .end = result.end,
-                                                      .elapsed = toMs(result.elapsed),
-                                                      .load = result.load});
+        m_handlers.send(entry.mapped().home,
+                        SlotDone{.ticket = ticket,
+                                 .end = result.end,
+                                 .elapsed = toMs(result.elapsed),
+                                 .load = result.load});
     }
 }
 
--- a/src/io/settings_reader.cpp
+++ b/src/io/settings_reader.cpp
@@ -253,10 +253,9 @@
     if (value == nullptr || (value->is_string() && value->get_ref<const std::string &>().empty())) {
         return defaultValue;
     }
-    const auto span = settle(
-        [&]() -> Result<milliseconds> {
-            return parseSpan(value->is_string() ? value->get<std::string>() : std::string{});
-        });
+    const auto span = settle([&]() -> Result<milliseconds> {
+        return parseSpan(value->is_string() ? value->get<std::string>() : std::string{});
+    });
     if (!span) {
         m_document.addFault(pathOf(key), value, "a span such as \"1500ms\" or \"2s\"");
         return defaultValue;
--- /dev/null
+++ b/tests/contract/gateway_test.cpp
@@ -0,0 +1,345 @@
+#include "gateway/gateway.h"
+#include "standins/platform_server.h"
+#include "standins/platform_store.h"
+#include "users_platform.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace figlanding;
+using namespace figlanding::standins;
+using figlanding::platform::UsersPlatform;
+
+namespace {
+
+using Vm = Gateway<UsersPlatform>;
+
+constexpr auto configuration = R"({"Version":"r1","Routes":[
+ {"Name":"keyed","Hostname":"x.example","PathPrefix":"/keyed/","RouteType":"safe",
+  "Timeout":"2000ms","TargetLatency":"500ms","Service":"rooms","Attempts":2},
+ {"Name":"book","Hostname":"x.example","PathPrefix":"/book/","RouteType":"unsafe",
+  "Timeout":"2000ms","TargetLatency":"500ms","Service":"ledger","Attempts":2},
+ {"Name":"read","Hostname":"x.example","PathPrefix":"/read/","RouteType":"safe",
+  "Timeout":"2000ms","TargetLatency":"500ms","Service":"ledger","Attempts":2}],
+ "Services":[{"Name":"rooms","Sharded":true},{"Name":"ledger"}],
+ "Tenants":[{"Name":"band","ApiKeys":["key"],"RatePerS":1000,"Burst":1000},
+            {"Name":"small","ApiKeys":["low"],"RatePerS":1,"Burst":2}]})";
+
+// A store, servers and VMs on one loop.
+class Deployment
+{
+public:
+    explicit Deployment(int vms)
+        : m_beatTimer(m_loop, [this] { announce(); })
+        , m_client(m_loop, {})
+    {
+        REQUIRE(ok([&] { return m_store.start(); }));
+        m_store.put("keyed.op", "config", configuration);
+        addServer("rooms-1", "rooms", true);
+        addServer("rooms-2", "rooms", true);
+        addServer("ledger-1", "ledger", false);
+        addServer("ledger-2", "ledger", false);
+        announce();
+        m_beatTimer.startRepeating(milliseconds(300));
+        for (auto i = 0; i < vms; ++i) {
+            startVm();
+        }
+    }
+
+    // Runs the loop until a condition holds; returns whether it did in time.
+    auto until(const std::function<bool()> &condition, milliseconds limit = milliseconds(8000))
+        -> bool
+    {
+        const auto end = m_loop.now() + limit;
+        auto timer = Timer(m_loop, [&] {
+            if (condition() || m_loop.now() >= end) {
+                m_loop.stop();
+            }
+        });
+        timer.startRepeating(milliseconds(5));
+        m_loop.run();
+        return condition();
+    }
+
+    // Sends a request and waits for its answer.
+    auto send(std::size_t vm, HttpRequest request) -> HttpOutcome
+    {
+        const auto result = std::make_shared<std::optional<HttpOutcome>>();
+        start(vm, std::move(request),
+              [result](HttpOutcome outcome) { *result = std::move(outcome); });
+        until([&] { return result->has_value(); });
+        return result->value_or(HttpOutcome{});
+    }
+    auto start(std::size_t vm, HttpRequest request, HttpClient::Callback callback) -> void
+    {
+        m_client.call(m_callers.at(vm), std::move(request), {.timeout = milliseconds(5000)},
+                      std::move(callback));
+    }
+    [[nodiscard]] auto request(const std::string &method, const std::string &target,
+                               const std::string &id, const std::string &key = "key") const
+        -> HttpRequest
+    {
+        return {.method = method,
+                .target = target,
+                .headers = {{"host", "x.example"},
+                            {"x-request-id", id},
+                            {"x-credential", key},
+                            {"x-shard-key", "40000"},
+                            {"x-deadline-ms", "2000"}}};
+    }
+    auto serves(std::size_t vm, const std::string &target) -> bool
+    {
+        return eventually([&] {
+            return send(vm, request("GET", target, std::to_string(m_number++))).response.status
+                == 200;
+        });
+    }
+    // Repeats an attempt, which may run the loop, until it succeeds.
+    auto eventually(const std::function<bool()> &attempt, milliseconds limit = milliseconds(8000))
+        -> bool
+    {
+        const auto end = m_loop.now() + limit;
+        while (m_loop.now() < end) {
+            if (attempt()) {
+                return true;
+            }
+            pause(milliseconds(50));
+        }
+        return false;
+    }
+    auto pause(milliseconds span) -> void
+    {
+        until([] { return false; }, span);
+    }
+
+    auto store() -> PlatformStore &
+    {
+        return m_store;
+    }
+    auto server(std::size_t index) -> PlatformServer &
+    {
+        return *m_servers.at(index).server;
+    }
+    auto vm(std::size_t index) -> std::unique_ptr<Vm> &
+    {
+        return m_vms.at(index);
+    }
+    auto drain(std::size_t index) -> void
+    {
+        m_servers.at(index).draining = true;
+        announce();
+    }
+
+private:
+    struct Announced
+    {
+        std::unique_ptr<PlatformServer> server;
+        std::string id;
+        std::string service;
+        bool draining = false;
+    };
+
+    static auto ok(const std::function<Result<void>()> &attempt) -> bool
+    {
+        return valueOrElse(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(attempt());
+                return true;
+            },
+            [](const Error &) { return false; });
+    }
+
+    auto freeAddress() -> SocketAddress
+    {
+        const auto socket = valueOrElse(
+            [] {
+                return listenOn({"127.0.0.1", 0});
+            },
+            [](const Error &) { return FileDescriptor{}; });
+        return {"127.0.0.1", localPort(socket.get())};
+    }
+
+    auto startVm() -> void
+    {
+        const auto name = std::string("vm-").append(std::to_string(m_vms.size()));
+        const auto settings = GatewaySettings{.vm = VmId(name),
+                                              .zone = AvailabilityZoneId("a"),
+                                              .callers = freeAddress(),
+                                              .readiness = freeAddress(),
+                                              .admin = freeAddress(),
+                                              .fleet = freeAddress(),
+                                              .store = m_store.address()};
+        m_callers.push_back(settings.callers);
+        m_vms.push_back(std::make_unique<Vm>(m_loop, settings));
+        REQUIRE(ok([&] { return m_vms.back()->start(); }));
+    }
+
+    auto addServer(const std::string &id, const std::string &service, bool keyed) -> void
+    {
+        auto server = std::make_unique<PlatformServer>(
+            m_loop, PlatformServerOptions{.id = id, .keyed = keyed});
+        REQUIRE(ok([&] { return server->start(); }));
+        m_servers.push_back({.server = std::move(server), .id = id, .service = service});
+    }
+
+    auto announce() -> void
+    {
+        m_sequence += 1;
+        for (const auto &entry : m_servers) {
+            m_store.put("keyed.servers", entry.id,
+                        entry.server->entry(entry.service, "a", m_sequence, entry.draining));
+        }
+    }
+
+    EventLoop m_loop;
+    PlatformStore m_store{m_loop};
+    std::vector<Announced> m_servers;
+    Timer m_beatTimer;
+    HttpClient m_client;
+    std::vector<SocketAddress> m_callers;
+    std::vector<std::unique_ptr<Vm>> m_vms;
+    int m_sequence = 0;
+    int m_number = 1;
+};
+
+} // namespace
+
+TEST_CASE("keyed and pool requests are served through each of three VMs")
+{
+    auto deployment = Deployment(3);
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        CHECK(deployment.serves(vm, "/keyed/1"));
+        CHECK(deployment.serves(vm, "/read/1"));
+    }
+    const auto owners =
+        int{deployment.server(0).holds(40'000)} + int{deployment.server(1).holds(40'000)};
+    CHECK(owners == 1);
+}
+
+TEST_CASE("unknown routes and keys are refused, rates are kept, the key stays here")
+{
+    auto deployment = Deployment(1);
+    REQUIRE(deployment.serves(0, "/read/1"));
+    CHECK(deployment.send(0, deployment.request("GET", "/none/1", "a")).response.status == 404);
+    CHECK(deployment.send(0, deployment.request("GET", "/read/1", "b", "no")).response.status
+          == 401);
+    auto limited = 0;
+    for (auto i = 0; i < 10; ++i) {
+        const auto id = std::string("c").append(std::to_string(i));
+        const auto outcome = deployment.send(0, deployment.request("GET", "/read/1", id, "low"));
+        if (outcome.response.status == 429) {
+            ++limited;
+            CHECK(outcome.response.headers.find("retry-after"));
+        }
+    }
+    CHECK(limited >= 6);
+    for (const auto index : {2U, 3U}) {
+        CHECK_FALSE(deployment.server(index).lastHeaders().find("x-credential"));
+    }
+}
+
+TEST_CASE("a request that must not repeat runs once at most, whatever its server does")
+{
+    auto deployment = Deployment(2);
+    REQUIRE(deployment.serves(0, "/read/1"));
+    deployment.server(2).options().fails = true;
+    deployment.server(3).options().crossesAnswers = true;
+    for (auto i = 0; i < 8; ++i) {
+        const auto id = std::string("book").append(std::to_string(i));
+        const auto outcome = deployment.send(0, deployment.request("POST", "/book/1", id));
+        const auto runs = [&](std::size_t index) {
+            const auto &all = deployment.server(index).runs();
+            return all.contains(id) ? all.at(id) : 0;
+        };
+        CHECK(runs(2) + runs(3) == 1);
+        // Failed at the server, or of unknown outcome; never a promise that it did not run.
+        const auto status = outcome.response.status;
+        CHECK((status == 500 || status == 502));
+    }
+}
+
+TEST_CASE("an idempotent request is repeated at another server after a failure")
+{
+    auto deployment = Deployment(1);
+    REQUIRE(deployment.serves(0, "/read/1"));
+    deployment.server(2).options().sheds = true;
+    auto served = 0;
+    for (auto i = 0; i < 10; ++i) {
+        const auto id = std::string("r").append(std::to_string(i));
+        served +=
+            deployment.send(0, deployment.request("GET", "/read/1", id)).response.status == 200;
+    }
+    CHECK(served >= 9);
+}
+
+TEST_CASE("no server runs more requests at once than it has slots, over all VMs")
+{
+    auto deployment = Deployment(3);
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        REQUIRE(deployment.serves(vm, "/read/1"));
+    }
+    deployment.pause(milliseconds(600)); // the VMs hear each other
+    auto answered = 0;
+    constexpr auto total = 60;
+    for (auto i = 0; i < total; ++i) {
+        const auto id = std::string("n").append(std::to_string(i));
+        deployment.start(static_cast<std::size_t>(i % 3), deployment.request("GET", "/read/1", id),
+                         [&](const HttpOutcome &) { ++answered; });
+    }
+    CHECK(deployment.until([&] { return answered == total; }));
+    CHECK(deployment.server(2).mostRunning() <= 2);
+    CHECK(deployment.server(3).mostRunning() <= 2);
+}
+
+TEST_CASE("keys leave a draining server and are served by another one")
+{
+    auto deployment = Deployment(2);
+    REQUIRE(deployment.serves(0, "/keyed/1"));
+    const auto owner = deployment.server(0).holds(40'000) ? std::size_t{0} : std::size_t{1};
+    deployment.drain(owner);
+    CHECK(deployment.until([&] { return deployment.server(1 - owner).holds(40'000); },
+                           milliseconds(2000)));
+    CHECK_FALSE(deployment.server(owner).holds(40'000));
+    CHECK(deployment.serves(1, "/keyed/1"));
+}
+
+TEST_CASE("service goes on while the store is away, and follows it when it is back")
+{
+    auto deployment = Deployment(2);
+    REQUIRE(deployment.serves(0, "/keyed/1"));
+    deployment.store().setFaults({.down = true});
+    deployment.pause(milliseconds(3000));
+    CHECK(deployment.serves(0, "/keyed/2"));
+    CHECK(deployment.serves(1, "/read/2"));
+    deployment.store().setFaults({});
+    auto changed = std::string(configuration);
+    changed.replace(changed.find("r1"), 2, "r2");
+    changed.replace(changed.find("/read/"), 6, "/late/");
+    deployment.store().put("keyed.op", "config", changed);
+    CHECK(deployment.eventually(
+        [&] {
+            return deployment.send(0, deployment.request("GET", "/late/1", "x")).response.status
+                == 200;
+        },
+        milliseconds(3000)));
+}
+
+TEST_CASE("another VM takes the keys over when the one that assigns them is gone")
+{
+    auto deployment = Deployment(3);
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        REQUIRE(deployment.serves(vm, "/keyed/1"));
+    }
+    // The first of the group's members has the duty.
+    deployment.vm(0).reset();
+    deployment.vm(1).reset();
+    const auto lease = milliseconds(7000);
+    deployment.pause(lease);
+    CHECK(deployment.serves(2, "/keyed/1"));
+}
--- /dev/null
+++ b/tests/standins/platform_server.cpp
@@ -0,0 +1,152 @@
+#include "standins/platform_server.h"
+
+#include "figlanding/gateway/time_text.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace figlanding::standins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int slots = 2;
+
+auto headerOf(const HttpRequest &request, const char *name) -> std::string
+{
+    return std::string(request.headers.find(name).value_or(""));
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(EventLoop &loop, PlatformServerOptions options)
+    : m_loop(loop)
+    , m_options(std::move(options))
+{ }
+
+auto PlatformServer::start() -> Result<void>
+{
+    BOOST_LEAF_ASSIGN(
+        m_server,
+        HttpServer::listen(m_loop, {.address = {"127.0.0.1", 0}},
+                           [this](HttpExchange exchange) { handle(std::move(exchange)); }));
+    return {};
+}
+
+auto PlatformServer::address() const -> SocketAddress
+{
+    return {"127.0.0.1", m_server->port()};
+}
+
+auto PlatformServer::entry(const std::string &service, const std::string &zone, int sequence,
+                           bool draining) const -> std::string
+{
+    return json{{"Service", service},
+                {"Address", toText(address())},
+                {"Zone", zone},
+                {"Version", "v1"},
+                {"MaxConcurrency", slots},
+                {"State", draining ? "draining" : "ready"},
+                {"WarmupRemaining", "0ms"},
+                {"Sequence", sequence},
+                {"born", 1000}}
+        .dump();
+}
+
+auto PlatformServer::holds(ShardKey key) const -> bool
+{
+    return std::any_of(m_holds.begin(), m_holds.end(), [&](const Hold &hold) {
+        return key >= hold.keys.from && key <= hold.keys.to && hold.until > m_loop.now();
+    });
+}
+
+auto PlatformServer::handle(HttpExchange exchange) -> void
+{
+    const auto path = pathOf(exchange.request().target);
+    if (path == "/api/grant") {
+        grant(exchange);
+    } else if (path == "/api/release") {
+        release(exchange);
+    } else {
+        run(std::move(exchange));
+    }
+}
+
+auto PlatformServer::grant(HttpExchange &exchange) -> void
+{
+    constexpr auto conflict = 409;
+    const auto body = json::parse(exchange.request().body);
+    const auto fence = body.at("fence").get<std::uint64_t>();
+    const auto keys = KeyRange{body.at("From").get<ShardKey>(), body.at("To").get<ShardKey>()};
+    const auto newer = std::any_of(m_holds.begin(), m_holds.end(), [&](const Hold &hold) {
+        return hold.keys.from <= keys.to && keys.from <= hold.keys.to && hold.fence > fence;
+    });
+    if (newer) {
+        exchange.respond({.status = conflict});
+        return;
+    }
+    const auto lease = valueOrElse([&] { return parseSpan(body.at("Hold").get<std::string>()); },
+                                   [](const Error &) { return milliseconds(0); });
+    std::erase_if(m_holds, [&](const Hold &hold) { return hold.keys == keys; });
+    m_holds.push_back({.keys = keys, .fence = fence, .until = m_loop.now() + lease});
+    exchange.respond({.status = 200});
+}
+
+auto PlatformServer::release(HttpExchange &exchange) -> void
+{
+    const auto body = json::parse(exchange.request().body);
+    const auto keys = KeyRange{body.at("From").get<ShardKey>(), body.at("To").get<ShardKey>()};
+    auto kept = std::vector<Hold>{};
+    for (const auto &hold : m_holds) {
+        auto whole = OwnershipTable{};
+        whole.ranges.emplace_back().keys = hold.keys;
+        for (const auto &part : splitAround(whole, keys).ranges) {
+            if (part.keys.from < keys.from || part.keys.to > keys.to) {
+                kept.push_back({.keys = part.keys, .fence = hold.fence, .until = hold.until});
+            }
+        }
+    }
+    m_holds = std::move(kept);
+    exchange.respond({.status = 200, .headers = {{"x-lease-handover", "token"}}});
+}
+
+auto PlatformServer::run(HttpExchange exchange) -> void
+{
+    constexpr auto misdirected = 421;
+    constexpr auto unavailable = 503;
+    constexpr auto failed = 500;
+    const auto &request = exchange.request();
+    const auto id = headerOf(request, "x-request-id");
+    const auto key = headerOf(request, "x-shard-key");
+    const auto wrongKey =
+        m_options.keyed && (key.empty() || !holds(static_cast<ShardKey>(std::stoul(key))));
+    if (headerOf(request, "x-expect-instance") != m_options.id || wrongKey) {
+        exchange.respond({.status = misdirected, .headers = {{"x-not-executed", "1"}}});
+        return;
+    }
+    if (m_options.sheds) {
+        exchange.respond({.status = unavailable, .headers = {{"x-not-executed", "1"}}});
+        return;
+    }
+    m_runs[id] += 1;
+    m_lastHeaders = request.headers;
+    m_running += 1;
+    m_mostRunning = std::max(m_mostRunning, m_running);
+    const auto answerId = m_options.crossesAnswers ? std::string("another") : id;
+    auto response = HttpResponse{.status = m_options.fails ? failed : 200,
+                                 .headers = {{"x-request-id", answerId},
+                                             {"x-upstream-signature", "digest"},
+                                             {"x-upstream-load", "1,0,2,100"}},
+                                 .body = "done " + m_options.id};
+    m_timers.push_back(std::make_unique<Timer>(
+        m_loop, [this, exchange = std::move(exchange), response = std::move(response)]() mutable {
+            m_running -= 1;
+            exchange.respond(std::move(response));
+        }));
+    m_timers.back()->startOnce(m_options.work);
+}
+
+} // namespace figlanding::standins
--- /dev/null
+++ b/tests/standins/platform_store.cpp
@@ -0,0 +1,222 @@
+#include "standins/platform_store.h"
+
+#include "core/base64.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace figlanding::standins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t lengthBytes = 4;
+constexpr milliseconds checkInterval{5};
+
+auto bigEndian(std::uint64_t value, std::size_t bytes) -> std::string
+{
+    auto text = std::string(bytes, '\0');
+    for (auto i = bytes; i > 0; --i) {
+        text[i - 1] = static_cast<char>(value & 0xff);
+        value >>= 8;
+    }
+    return text;
+}
+
+auto numberOf(const HttpRequest &request, const char *name) -> std::uint64_t
+{
+    const auto text = queryParameter(request.target, name);
+    return text ? std::stoull(std::string(*text)) : 0;
+}
+
+auto topicOf(const HttpRequest &request) -> std::string
+{
+    return std::string(queryParameter(request.target, "Topic").value_or(""));
+}
+
+} // namespace
+
+PlatformStore::PlatformStore(EventLoop &loop)
+    : m_loop(loop)
+    , m_timer(loop, [this] { answerWaiting(); })
+{ }
+
+PlatformStore::~PlatformStore()
+{
+    for (auto &exchange : m_unanswered) {
+        exchange.abort();
+    }
+    for (auto &read : m_waiting) {
+        read.exchange.abort();
+    }
+}
+
+auto PlatformStore::start() -> Result<void>
+{
+    BOOST_LEAF_ASSIGN(
+        m_server,
+        HttpServer::listen(m_loop, {.address = {"127.0.0.1", 0}},
+                           [this](HttpExchange exchange) { handle(std::move(exchange)); }));
+    m_timer.startRepeating(checkInterval);
+    return {};
+}
+
+auto PlatformStore::address() const -> SocketAddress
+{
+    return {"127.0.0.1", m_server->port()};
+}
+
+auto PlatformStore::setFaults(const PlatformStoreFaults &faults) -> void
+{
+    m_faults = faults;
+}
+
+auto PlatformStore::put(const std::string &topic, const std::string &key,
+                        std::optional<std::string> value) -> void
+{
+    m_topics[topic].push_back({.key = key, .value = std::move(value)});
+    answerWaiting();
+}
+
+auto PlatformStore::handle(HttpExchange exchange) -> void
+{
+    constexpr auto unavailable = 503;
+    constexpr auto notFound = 404;
+    m_calls += 1;
+    const auto path = pathOf(exchange.request().target);
+    if (m_faults.silent) {
+        m_unanswered.push_back(std::move(exchange));
+    } else if (m_faults.down) {
+        exchange.respond({.status = unavailable});
+    } else if (path == "/api/log-read") {
+        read(std::move(exchange));
+    } else if (path == "/api/log-append") {
+        append(std::move(exchange));
+    } else if (path == "/api/log-newest") {
+        newest(std::move(exchange));
+    } else if (path == "/api/log-join" || path == "/api/log-leave") {
+        join(std::move(exchange));
+    } else {
+        exchange.respond({.status = notFound});
+    }
+}
+
+auto PlatformStore::page(const std::string &topic, std::uint64_t from) const -> HttpResponse
+{
+    const auto found = m_topics.find(topic);
+    const auto size = found == m_topics.end() ? std::size_t{0} : found->second.size();
+    auto body = bigEndian(size, 8) + bigEndian(0, 8);
+    for (auto offset = from; offset < size; ++offset) {
+        const auto &record = found->second[offset];
+        auto bytes = std::string(1, static_cast<char>(record.key.size())) + record.key
+            + record.value.value_or("");
+        body += bigEndian(bytes.size(), lengthBytes) + bytes;
+    }
+    return {.status = 200, .body = std::move(body)};
+}
+
+auto PlatformStore::read(HttpExchange exchange) -> void
+{
+    constexpr auto gone = 410;
+    const auto &request = exchange.request();
+    const auto topic = topicOf(request);
+    const auto from = numberOf(request, "From");
+    if (m_faults.forgetHistory && from < m_topics[topic].size()) {
+        exchange.respond({.status = gone, .body = "{\"First\":0}"});
+        return;
+    }
+    const auto until = m_loop.now() + milliseconds(numberOf(request, "WaitMs"));
+    m_waiting.push_back(
+        {.exchange = std::move(exchange), .topic = topic, .from = from, .until = until});
+    answerWaiting();
+}
+
+auto PlatformStore::answerWaiting() -> void
+{
+    for (auto read = m_waiting.begin(); read != m_waiting.end();) {
+        if (m_topics[read->topic].size() > read->from || m_loop.now() >= read->until) {
+            read->exchange.respond(page(read->topic, read->from));
+            read = m_waiting.erase(read);
+        } else {
+            ++read;
+        }
+    }
+}
+
+auto PlatformStore::append(HttpExchange exchange) -> void
+{
+    constexpr auto preconditionFailed = 412;
+    const auto &request = exchange.request();
+    auto &records = m_topics[topicOf(request)];
+    if (queryParameter(request.target, "At") && numberOf(request, "At") != records.size()) {
+        exchange.respond(jsonResponse(preconditionFailed, json{{"End", records.size()}}.dump()));
+        return;
+    }
+    const auto offset = records.size();
+    const auto record = std::string_view(request.body).substr(lengthBytes);
+    const auto keyLength = static_cast<unsigned char>(record.front());
+    const auto value = record.substr(1 + keyLength);
+    records.push_back({.key = std::string(record.substr(1, keyLength)),
+                       .value = value.empty() ? std::nullopt : std::optional(std::string(value))});
+    answerWaiting();
+    if (m_faults.loseAppendAnswers) {
+        m_unanswered.push_back(std::move(exchange));
+        return;
+    }
+    exchange.respond(jsonResponse(200, json{{"Offset", offset}, {"End", records.size()}}.dump()));
+}
+
+auto PlatformStore::newest(HttpExchange exchange) -> void
+{
+    const auto &records = m_topics[topicOf(exchange.request())];
+    auto last = std::map<std::string, std::uint64_t>{};
+    for (std::uint64_t offset = 0; offset < records.size(); ++offset) {
+        last[records[offset].key] = offset;
+    }
+    const auto after = queryParameter(exchange.request().target, "after");
+    auto items = json::array();
+    auto more = false;
+    constexpr auto pageSize = std::size_t{3}; // small, so that tests meet several pages
+    for (const auto &[key, offset] : last) {
+        if (!records[offset].value || (after && key <= *after)) {
+            continue;
+        }
+        if (items.size() == pageSize) {
+            more = true;
+            break;
+        }
+        items.push_back(
+            {{"Key", key}, {"Value", encodeBase64(*records[offset].value)}, {"Offset", offset}});
+    }
+    exchange.respond(
+        jsonResponse(200, json{{"items", items}, {"More", more}, {"End", records.size()}}.dump()));
+}
+
+auto PlatformStore::join(HttpExchange exchange) -> void
+{
+    const auto &request = exchange.request();
+    const auto body = json::parse(request.body);
+    auto &members = m_groups[body.at("group").get<std::string>()];
+    const auto member = body.at("Member").get<std::string>();
+    if (pathOf(request.target) == "/api/log-leave") {
+        members.erase(member);
+        exchange.respond(jsonResponse(200, "{}"));
+        return;
+    }
+    const auto now = m_loop.now();
+    std::erase_if(members, [&](const auto &item) { return item.second <= now; });
+    constexpr auto timeToLive = milliseconds(2200);
+    members[member] = now + timeToLive;
+    const auto index = std::distance(members.begin(), members.find(member));
+    auto parts = json::array();
+    constexpr auto partitions = 12;
+    for (auto part = index; part < partitions; part += static_cast<long>(members.size())) {
+        parts.push_back({"topic", part, 0});
+    }
+    exchange.respond(jsonResponse(200, json{{"Generation", 1}, {"parts", parts}}.dump()));
+}
+
+} // namespace figlanding::standins
--- /dev/null
+++ b/tests/standins/platform_store.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "io/http_server.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// @file
+/// Stand-in for the platform's store: keyed topics with one partition, and groups.
+
+namespace figlanding::standins {
+
+/// Faults of the store.
+struct PlatformStoreFaults
+{
+    bool down = false; ///< answers 503
+    bool silent = false; ///< takes calls and never answers
+    bool loseAppendAnswers = false; ///< appends take effect without an answer
+    bool forgetHistory = false; ///< reads before the end are answered with 410
+};
+
+/// Keeps records in memory.
+class PlatformStore
+{
+public:
+    explicit PlatformStore(EventLoop &loop);
+    ~PlatformStore();
+    PlatformStore(const PlatformStore &) = delete;
+    auto operator=(const PlatformStore &) -> PlatformStore & = delete;
+
+    [[nodiscard]] auto start() -> Result<void>;
+    [[nodiscard]] auto address() const -> SocketAddress;
+    auto setFaults(const PlatformStoreFaults &faults) -> void;
+    /// Writes a record as operators and servers do; without a value the key is dropped.
+    auto put(const std::string &topic, const std::string &key, std::optional<std::string> value)
+        -> void;
+    /// Returns the number of calls since the start.
+    [[nodiscard]] auto calls() const -> std::size_t
+    {
+        return m_calls;
+    }
+
+private:
+    struct Record
+    {
+        std::string key;
+        std::optional<std::string> value;
+    };
+    struct WaitingRead
+    {
+        HttpExchange exchange;
+        std::string topic;
+        std::uint64_t from = 0;
+        TimePoint until;
+    };
+
+    auto handle(HttpExchange exchange) -> void;
+    auto read(HttpExchange exchange) -> void;
+    auto append(HttpExchange exchange) -> void;
+    auto newest(HttpExchange exchange) -> void;
+    auto join(HttpExchange exchange) -> void;
+    auto answerWaiting() -> void;
+    [[nodiscard]] auto page(const std::string &topic, std::uint64_t from) const -> HttpResponse;
+
+    EventLoop &m_loop;
+    PlatformStoreFaults m_faults;
+    std::unique_ptr<HttpServer> m_server;
+    Timer m_timer;
+    std::map<std::string, std::vector<Record>> m_topics;
+    std::list<WaitingRead> m_waiting;
+    std::list<HttpExchange> m_unanswered;
+    std::map<std::string, std::map<std::string, TimePoint>> m_groups; ///< members and their ends
+    std::size_t m_calls = 0;
+};
+
+} // namespace figlanding::standins
--- /dev/null
+++ b/tests/unit/gateway_state_test.cpp
@@ -0,0 +1,270 @@
+#include "figlanding/gateway/caller_patience.h"
+#include "figlanding/gateway/desired_state.h"
+#include "figlanding/gateway/fleet_messages.h"
+#include "figlanding/gateway/fleet_records.h"
+#include "figlanding/gateway/fleet_view.h"
+#include "figlanding/gateway/relay_schedule.h"
+#include "figlanding/gateway/server_registry.h"
+#include "figlanding/gateway/time_text.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+using namespace figlanding;
+
+namespace {
+
+const auto start = TimePoint{} + seconds(1000);
+
+auto route(const std::string &id, const std::string &host, const std::string &prefix)
+    -> DesiredRoute
+{
+    return {.id = RouteId(id),
+            .host = host,
+            .pathPrefix = prefix,
+            .services = {{.service = ServiceId(std::string("s-").append(id))}}};
+}
+
+auto entry(const std::string &id, std::int64_t born, std::uint64_t sequence) -> ServerEntry
+{
+    return {.id = BackendServerId(id),
+            .bornUnixMs = born,
+            .service = ServiceId("rooms"),
+            .address = {"10.0.0.1", 80},
+            .zone = AvailabilityZoneId("a"),
+            .slots = 2,
+            .sequence = sequence};
+}
+
+template <typename Value>
+auto roundTrip(const Value &payload) -> FleetMessage
+{
+    const auto message =
+        FleetMessage{.from = VmId("vm-1"), .incarnation = "i1", .payload = payload};
+    return valueOrElse([&] { return decodeFleetMessage(encodeFleetMessage(message)); },
+                       [](const Error &) { return FleetMessage{}; });
+}
+
+auto errorOf(const std::string &span) -> bool
+{
+    return valueOrElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(parseSpan(span));
+            return false;
+        },
+        [](const Error &) { return true; });
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes matches")
+{
+    const auto index = DesiredStateIndex(
+        {.routes = {route("a", "x.example", "/rooms/"), route("b", "x.example", "/rooms/big/"),
+                    route("c", "y.example", "/")}});
+    CHECK(index.findRoute("x.example", "/rooms/1")->id == RouteId("a"));
+    CHECK(index.findRoute("x.example:80", "/rooms/big/1")->id == RouteId("b"));
+    CHECK(index.findRoute("x.example", "/rooms") == nullptr);
+    CHECK(index.findRoute("y.example", "/rooms/1")->id == RouteId("c"));
+    CHECK(index.findRoute("z.example", "/") == nullptr);
+}
+
+TEST_CASE("services are picked in proportion to their weights")
+{
+    auto split = route("a", "x", "/");
+    split.services = {{.service = ServiceId("big"), .weight = 90},
+                      {.service = ServiceId("small"), .weight = 10}};
+    CHECK(pickService(split, 0.0) == ServiceId("big"));
+    CHECK(pickService(split, 0.89) == ServiceId("big"));
+    CHECK(pickService(split, 0.91) == ServiceId("small"));
+    CHECK(pickService(split, 0.9999) == ServiceId("small"));
+}
+
+TEST_CASE("an announcement of an older life, or an older one of the same life, is ignored")
+{
+    auto registry = ServerRegistry();
+    registry.announce(entry("s", 10, 5), start);
+    registry.announce(entry("s", 9, 9), start);
+    CHECK(registry.find(BackendServerId("s"))->entry.bornUnixMs == 10);
+    auto leaving = entry("s", 10, 6);
+    leaving.draining = true;
+    registry.announce(leaving, start);
+    registry.announce(entry("s", 10, 5), start);
+    CHECK(registry.find(BackendServerId("s"))->entry.draining);
+    registry.announce(entry("s", 10, 7), start);
+    CHECK(registry.find(BackendServerId("s"))->entry.draining);
+    registry.announce(entry("s", 11, 1), start);
+    CHECK_FALSE(registry.find(BackendServerId("s"))->entry.draining);
+}
+
+TEST_CASE("a lapsed entry that comes back in time is not removed")
+{
+    auto registry = ServerRegistry();
+    registry.announce(entry("s", 10, 5), start);
+    registry.announce(entry("t", 10, 5), start);
+    registry.remove(BackendServerId("s"), start + seconds(2));
+    registry.remove(BackendServerId("t"), start + seconds(2));
+    CHECK_FALSE(registry.expire(start + seconds(1)));
+    registry.announce(entry("s", 10, 6), start + seconds(1));
+    CHECK(registry.expire(start + seconds(2)));
+    CHECK(registry.find(BackendServerId("s")) != nullptr);
+    CHECK(registry.find(BackendServerId("t")) == nullptr);
+}
+
+TEST_CASE("servers of evacuated zones and draining servers take no work")
+{
+    auto registry = ServerRegistry();
+    registry.announce(entry("s", 10, 5), start);
+    const auto &server = *registry.find(BackendServerId("s"));
+    CHECK(registry.takesWork(server));
+    registry.setEvacuatedZones({AvailabilityZoneId("a")});
+    CHECK_FALSE(registry.takesWork(server));
+    registry.setEvacuatedZones({});
+    CHECK(registry.takesWork(server));
+}
+
+TEST_CASE("datagrams keep their content")
+{
+    const auto heartbeat =
+        Heartbeat{.leaving = true,
+                  .topicEnds = {{"t", 17}},
+                  .uses = {{TeamId("band"), {.admitted = 3, .demand = 2.5, .admittedRate = 1.5}}}};
+    CHECK(roundTrip(heartbeat).payload == FleetPayload(heartbeat));
+    const auto ask = SlotAsk{.ticket = 9,
+                             .service = ServiceId("s#0"),
+                             .owner = BackendServerId("o"),
+                             .excluded = {BackendServerId("e")},
+                             .priority = 2,
+                             .zone = AvailabilityZoneId("a"),
+                             .waited = milliseconds(5),
+                             .objectiveIn = milliseconds(-7),
+                             .deadlineIn = milliseconds(900)};
+    CHECK(roundTrip(ask).payload == FleetPayload(ask));
+    const auto answer = SlotAnswer{.ticket = 9,
+                                   .state = SlotState::Granted,
+                                   .server = {BackendServerId("s"), 7},
+                                   .retryAfter = milliseconds(3)};
+    CHECK(roundTrip(answer).payload == FleetPayload(answer));
+    const auto done = SlotDone{.ticket = 9,
+                               .end = SlotEnd::Lost,
+                               .elapsed = milliseconds(12),
+                               .load = LoadReport{1, 2, 3, 1.5}};
+    CHECK(roundTrip(done).payload == FleetPayload(done));
+    const auto update =
+        TopicUpdate{.topic = "t",
+                    .from = 5,
+                    .next = 9,
+                    .records = {{.offset = 6, .key = "k", .value = std::string("\0\xff", 2)},
+                                {.offset = 8, .key = "gone"}},
+                    .whole = false};
+    CHECK(roundTrip(update).payload == FleetPayload(update));
+    const auto work = WorkReport{.keys = {{ServiceId("s"), 65'535, 2}},
+                                 .serviceTimes = {{BackendServerId("s"), milliseconds(90)}}};
+    CHECK(roundTrip(work).payload == FleetPayload(work));
+}
+
+TEST_CASE("bytes that are no datagram are refused")
+{
+    for (const auto *bytes : {"", "x", "\x83\x01\x02\x03", "\xff\xff"}) {
+        CHECK(valueOrElse(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(decodeFleetMessage(bytes));
+                return false;
+            },
+            [](const Error &) { return true; }));
+    }
+}
+
+TEST_CASE("the fleet's records keep their content; tables with gaps are refused")
+{
+    auto first = OwnedRange{};
+    first.keys = {0, 99};
+    first.owner = {BackendServerId("s"), 4};
+    first.fence = 12;
+    auto second = OwnedRange{};
+    second.keys = {100, 65'535};
+    second.fence = 3;
+    second.handOver = "token";
+    const auto table =
+        TableRecord{.service = ServiceId("rooms"), .table = {.ranges = {first, second}}};
+    const auto decode = [](const EncodedRecord &record) {
+        return valueOrElse(
+            [&] { return decodeFleetRecord({.key = record.key, .value = record.value}); },
+            [](const Error &) { return FleetRecord(ControllerClaim{}); });
+    };
+    CHECK(decode(encodeFleetRecord(table)) == FleetRecord(table));
+    const auto member =
+        MemberRecord{.vm = VmId("vm"), .incarnation = "i", .address = {"10.0.0.1", 7}};
+    CHECK(decode(encodeFleetRecord(member)) == FleetRecord(member));
+    const auto claim = ControllerClaim{.term = 3, .vm = VmId("vm"), .incarnation = "i"};
+    CHECK(decode(encodeFleetRecord(claim)) == FleetRecord(claim));
+    auto broken = table;
+    broken.table.ranges[1].keys.from = 101;
+    CHECK(decode(encodeFleetRecord(broken)) == FleetRecord(ControllerClaim{}));
+}
+
+TEST_CASE("all VMs that hear the same ones name the same home; a silent or leaving one is replaced")
+{
+    const auto names = std::map<std::string, int>{{"a", 1}, {"b", 1}, {"c", 1}};
+    const auto viewOf = [&](const std::string &self, bool bLeaves) {
+        auto view = FleetView(VmId(self), {});
+        for (const auto &[name, count] : names) {
+            view.hear({.vm = VmId(name), .heardAt = start, .leaving = bLeaves && name == "b"});
+        }
+        return view;
+    };
+    auto homes = std::map<std::string, int>{};
+    for (auto i = 0; i < 60; ++i) {
+        const auto subject = std::string("group").append(std::to_string(i));
+        const auto home = viewOf("a", false).home(subject, start);
+        CHECK(viewOf("b", false).home(subject, start) == home);
+        CHECK(viewOf("c", true).home(subject, start) != VmId("b"));
+        homes[home.value()] += 1;
+    }
+    CHECK(homes.size() == 3);
+    const auto late = start + seconds(5);
+    CHECK(viewOf("a", false).home("x", late) == VmId("a"));
+    CHECK(viewOf("a", false).aliveCount(late) == 1);
+    CHECK(viewOf("a", false).home("x", start, {VmId("b"), VmId("c")}) == VmId("a"));
+}
+
+TEST_CASE("the first VM reads, the others wait for it in turn, and a VM that hears nobody reads")
+{
+    auto schedule = RelaySchedule({.period = milliseconds(500), .step = milliseconds(100)});
+    const auto pause = milliseconds(400);
+    CHECK(schedule.delay(3, pause, false, start) == pause);
+    schedule.onRelayed(start);
+    CHECK(schedule.delay(0, pause, false, start) == pause);
+    CHECK(schedule.delay(1, pause, false, start) == milliseconds(700));
+    CHECK(schedule.delay(2, pause, false, start) == milliseconds(800));
+    CHECK(schedule.delay(0, pause, true, start) > milliseconds(800));
+    CHECK(schedule.delay(1, pause, false, start + seconds(2)) == pause);
+}
+
+TEST_CASE("what a caller has spent is the difference to the longest deadline of its route")
+{
+    auto patience = CallerPatience();
+    const auto ask = [&](int ms) {
+        return patience.spent(RouteId("r"), {.deadline = milliseconds(ms)});
+    };
+    CHECK(ask(2000) == milliseconds(0));
+    CHECK(ask(1300) == milliseconds(700));
+    CHECK(patience.spent(RouteId("r"), {}) == milliseconds(0));
+}
+
+TEST_CASE("spans of time have a number and a unit")
+{
+    const auto parse = [](const char *text) {
+        return valueOrElse([&] { return parseSpan(text); },
+                           [](const Error &) { return milliseconds(-1); });
+    };
+    CHECK(parse("1500ms") == milliseconds(1500));
+    CHECK(parse("2.5s") == milliseconds(2500));
+    CHECK(parse("0ms") == milliseconds(0));
+    for (const auto *text : {"", "5", "ms", "-1s", "1m", "1 s", "1e99s"}) {
+        CHECK(errorOf(text));
+    }
+    CHECK(toSpanText(milliseconds(1500)) == "1500ms");
+}
--- a/tests/unit/key_controller_test.cpp
+++ b/tests/unit/key_controller_test.cpp
@@ -85,8 +85,7 @@
 
 TEST_CASE("the world finds renewals that go on although another VM may hold the claim")
 {
-    const auto faults =
-        KeyWorldFaults{.silences = true, .dutyChanges = true, .storeCuts = true};
+    const auto faults = KeyWorldFaults{.silences = true, .dutyChanges = true, .storeCuts = true};
     CHECK(violations(faults, {}) == 0);
     // A holder that never stops, beside a successor that waits as if it had stopped at once.
     CHECK(violations(faults,
--- a/tests/unit/key_ownership_test.cpp
+++ b/tests/unit/key_ownership_test.cpp
@@ -12,7 +12,8 @@
 
 auto life(int number) -> ServerLife
 {
-    return {.server = BackendServerId(std::string("s").append(std::to_string(number))), .bornUnixMs = 1};
+    return {.server = BackendServerId(std::string("s").append(std::to_string(number))),
+            .bornUnixMs = 1};
 }
 
 auto servers(int count) -> std::vector<OwnerCandidate>
@@ -27,7 +28,7 @@
 auto withMoves(OwnershipTable table, const std::vector<PlannedMove> &moves) -> OwnershipTable
 {
     for (const auto &move : moves) {
-        table = splitAround(std::move(table), move.keys);
+        table = splitAround(table, move.keys);
         for (auto &range : table.ranges) {
             if (range.keys.from >= move.keys.from && range.keys.to <= move.keys.to) {
                 range.owner = move.to;
@@ -58,7 +59,8 @@
                 const std::vector<float> &loads, int rounds) -> OwnershipTable
 {
     for (auto i = 0; i < rounds; ++i) {
-        table = withMoves(std::move(table), planRebalance(table, candidates, loads, {}));
+        const auto moves = planRebalance(table, candidates, loads, {});
+        table = withMoves(std::move(table), moves);
     }
     return table;
 }
--- a/tests/unit/key_world.cpp
+++ b/tests/unit/key_world.cpp
@@ -225,9 +225,8 @@
 
     auto find(const SocketAddress &address) -> SimulatedServer &
     {
-        return *std::find_if(m_servers.begin(), m_servers.end(), [&](const auto &server) {
-            return server.address == address;
-        });
+        return *std::find_if(m_servers.begin(), m_servers.end(),
+                             [&](const auto &server) { return server.address == address; });
     }
 
     auto carryOut(SimulatedServer &server, const GrantOrder &order, TimePoint arrival) -> OrderEnd
@@ -248,7 +247,8 @@
             std::chrono::duration<double, std::milli>(m_lease) * slowClock);
         std::erase_if(server.holds, [&](const Hold &hold) { return hold.keys == order.keys; });
         m_changed = true;
-        server.holds.push_back({.keys = order.keys, .fence = order.fence, .until = arrival + lease});
+        server.holds.push_back(
+            {.keys = order.keys, .fence = order.fence, .until = arrival + lease});
         return OrderEnd::Accepted;
     }
 
@@ -279,9 +279,8 @@
             after(milliseconds(2), [run] { run(); });
             after(m_callTimeout, answerLost);
         } else {
-            after(milliseconds(4), [&sender, run, id = order.id, this] {
-                sender.onGrant(id, run(), m_now);
-            });
+            after(milliseconds(4),
+                  [&sender, run, id = order.id, this] { sender.onGrant(id, run(), m_now); });
         }
     }
 
--- a/tests/unit/slot_broker_test.cpp
+++ b/tests/unit/slot_broker_test.cpp
@@ -177,9 +177,9 @@
         ++number;
     }
     for (const auto &first : grants) {
-        CHECK(std::count_if(grants.begin(), grants.end(), [&](TimePoint at) {
-                  return at >= first && at < first + seconds(1);
-              }) <= 3); // 0.65 of 4.8, rounded down
+        CHECK(std::count_if(grants.begin(), grants.end(),
+                            [&](TimePoint at) { return at >= first && at < first + seconds(1); })
+              <= 3); // 0.65 of 4.8, rounded down
     }
     CHECK(grants.size() >= 9); // ... and that much in each of the three seconds
 }
--- /dev/null
+++ b/tests/unit/team_limits_test.cpp
@@ -0,0 +1,161 @@
+#include "figlanding/gateway/team_limits.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace figlanding;
+
+namespace {
+
+const auto start = TimePoint{} + seconds(1000);
+const auto team = TeamId("band");
+
+// VMs that report to each other, and requests that arrive at them at random.
+class Fleet
+{
+public:
+    Fleet(std::size_t vms, std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (std::size_t i = 0; i < vms; ++i) {
+            m_vms.push_back(std::make_unique<TeamLimits>(TeamLimitOptions{}));
+            m_vms.back()->setFleetSize(vms);
+        }
+    }
+
+    // Plays a span and returns when requests were admitted.
+    auto play(double perSecond, const TeamRate &rate, milliseconds span) -> std::vector<TimePoint>
+    {
+        auto admitted = std::vector<TimePoint>{};
+        const auto end = m_now + span;
+        auto gap = std::exponential_distribution<double>(perSecond);
+        auto next = m_now;
+        while (m_now < end) {
+            m_now += milliseconds(1);
+            if (m_now >= m_reportAt) {
+                report();
+            }
+            while (next <= m_now) {
+                auto &vm = *m_vms.at(m_random() % m_vms.size());
+                m_asked += 1;
+                if (vm.admit(team, rate, m_now)) {
+                    admitted.push_back(m_now);
+                }
+                next += std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(gap(m_random)));
+            }
+        }
+        return admitted;
+    }
+    [[nodiscard]] auto asked() const -> std::size_t
+    {
+        return m_asked;
+    }
+
+private:
+    auto report() -> void
+    {
+        m_reportAt = m_now + milliseconds(250);
+        for (std::size_t from = 0; from < m_vms.size(); ++from) {
+            const auto uses = m_vms[from]->takeUses(m_now);
+            for (std::size_t to = 0; to < m_vms.size(); ++to) {
+                if (from != to) {
+                    const auto name = std::string("vm").append(std::to_string(from));
+                    m_vms[to]->report(VmId(name), "1", uses, m_now);
+                }
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<TeamLimits>> m_vms;
+    TimePoint m_now = start;
+    TimePoint m_reportAt = start;
+    std::size_t m_asked = 0;
+};
+
+// Most admitted requests in any window of five seconds.
+auto mostInWindow(const std::vector<TimePoint> &admitted) -> std::size_t
+{
+    auto most = std::size_t{0};
+    auto first = std::size_t{0};
+    for (std::size_t last = 0; last < admitted.size(); ++last) {
+        while (admitted[last] - admitted[first] >= seconds(5)) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+// The users' bound: rate and burst of a window, a tenth more, and 20 requests.
+auto allowedInWindow(const TeamRate &rate) -> double
+{
+    return (rate.perSecond * 5 + rate.burst) * 1.1 + 20;
+}
+
+} // namespace
+
+TEST_CASE("a team below its rate is hardly ever refused, although it is spread over ten VMs")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto fleet = Fleet(10, seed);
+        const auto rate = TeamRate{.perSecond = 35, .burst = 35};
+        const auto admitted = fleet.play(35 / 1.6, rate, seconds(30));
+        CHECK(static_cast<double>(admitted.size()) > 0.97 * static_cast<double>(fleet.asked()));
+    }
+}
+
+TEST_CASE("a team that sends several times its rate gets its rate, and no window exceeds the bound")
+{
+    for (const auto perSecond : {12.0, 35.0, 120.0}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            auto fleet = Fleet(10, seed);
+            const auto rate = TeamRate{.perSecond = perSecond, .burst = perSecond};
+            auto admitted = fleet.play(perSecond / 1.6, rate, seconds(10));
+            const auto hot = fleet.play(perSecond / 1.6 * 7.5, rate, seconds(20));
+            admitted.insert(admitted.end(), hot.begin(), hot.end());
+            CAPTURE(perSecond);
+            CAPTURE(seed);
+            CHECK(static_cast<double>(mostInWindow(admitted)) < allowedInWindow(rate));
+            CHECK(static_cast<double>(hot.size()) > 0.9 * perSecond * 20);
+        }
+    }
+}
+
+TEST_CASE("a lowered rate binds within a window")
+{
+    auto fleet = Fleet(10, 3);
+    fleet.play(60, {.perSecond = 80, .burst = 80}, seconds(10));
+    const auto low = TeamRate{.perSecond = 10, .burst = 10};
+    fleet.play(60, low, seconds(5));
+    const auto admitted = fleet.play(60, low, seconds(15));
+    CHECK(static_cast<double>(mostInWindow(admitted)) < allowedInWindow(low));
+}
+
+TEST_CASE("a team without a rate is not limited")
+{
+    auto limits = TeamLimits({});
+    for (auto i = 0; i < 1000; ++i) {
+        CHECK(limits.admit(team, {}, start));
+    }
+}
+
+TEST_CASE("a refused caller is told to return later the more others are refused")
+{
+    auto limits = TeamLimits({});
+    const auto rate = TeamRate{.perSecond = 2, .burst = 2};
+    while (limits.admit(team, rate, start)) { }
+    const auto first = limits.retryAfter(team, rate);
+    for (auto i = 0; i < 20; ++i) {
+        static_cast<void>(limits.admit(team, rate, start));
+    }
+    CHECK(first > Duration::zero());
+    CHECK(limits.retryAfter(team, rate) > first);
+}
