Weigh duties by processor share; tell lost answers from lost servers; pass large tables on

Cause (all sites): one lost answer rested a server for half a second although it lived. Change: rendezvous hashing is weighted by the square of the share; updates say how old they are; single records up to 32 KB are passed on; one lost answer leaves one request at a time, losses of the connection rest the server, and a server that answers after them counts as cold for 1.5 s.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -31,6 +31,7 @@
 struct Heartbeat
 {
     bool leaving = false;
+    double capacity = 1.0; ///< share of a core that the sender has
     std::map<std::string, LogOffset> topicEnds; ///< how far the sender has read each topic
     std::map<TeamId, TeamUse> uses; ///< of the teams' rates, where they changed since the last one
 
@@ -96,6 +97,7 @@
     LogOffset next = 0; ///< offset after the last one that it covers
     /// The records between the two that change anything.
     std::vector<KeyedRecord> records;
+    milliseconds age{}; ///< since the sender read them
     bool whole = true; ///< false: a record that changes something is too large to be passed on
 
     auto operator==(const TopicUpdate &) const -> bool = default;
--- a/include/figlanding/gateway/fleet_view.h
+++ b/include/figlanding/gateway/fleet_view.h
@@ -23,6 +23,7 @@
     SocketAddress address; ///< for messages between VMs
     TimePoint heardAt; ///< time of its last message; the epoch if it was never heard
     bool leaving = false;
+    double capacity = 1.0; ///< share of a core; larger VMs take more duties
 
     auto operator==(const FleetMember &) const -> bool = default;
 };
@@ -39,7 +40,8 @@
 class FleetView
 {
 public:
-    FleetView(VmId self, const FleetViewOptions &options);
+    /// @param capacity share of a core that this VM has
+    FleetView(VmId self, double capacity, const FleetViewOptions &options);
 
     /// Learns a member's address from the store.
     auto learn(const VmId &vm, const std::string &incarnation, const SocketAddress &address)
@@ -56,7 +58,7 @@
     /// Returns the number of VMs alive, with this one.
     [[nodiscard]] auto aliveCount(TimePoint now) const -> std::size_t;
     /// Returns the VM responsible for @p subject: the one with the highest hash of both names
-    /// (rendezvous hashing) among the VMs that are alive and stay.
+    /// (rendezvous hashing, weighted by capacity) among the VMs that are alive and stay.
     /// @param excluded VMs that are not considered
     [[nodiscard]] auto home(std::string_view subject, TimePoint now,
                             const std::set<VmId> &excluded = {}) const -> VmId;
@@ -74,6 +76,7 @@
 
 private:
     VmId m_self;
+    double m_capacity;
     FleetViewOptions m_options;
     bool m_leaving = false;
     std::map<VmId, FleetMember> m_members;
--- a/include/figlanding/gateway/relay_schedule.h
+++ b/include/figlanding/gateway/relay_schedule.h
@@ -29,8 +29,8 @@
 public:
     explicit RelaySchedule(const RelayScheduleOptions &options);
 
-    /// Notes that another VM passed on all there is.
-    auto onRelayed(TimePoint now) -> void;
+    /// Notes that another VM passed on all there was when it read.
+    auto onRelayed(TimePoint readAt) -> void;
     /// Returns how long after @p now the VM should begin to read.
     /// @param rank number of living VMs that stand before this one
     /// @param pause of a VM that reads for itself, until its next read
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -87,7 +87,8 @@
     Served, ///< whole answer
     Failed, ///< an error answer of the server
     Declined, ///< the server said that it did not run the request
-    Lost, ///< no answer; the server may be gone
+    Lost, ///< no answer after it was sent; the server may be gone
+    Unreachable, ///< no connection to the server
     TimedOut, ///< no answer in the time that the request had left
     Abandoned, ///< the caller left, or the request was never sent
 };
@@ -118,7 +119,10 @@
     double serviceTimeWeight = 0.08; ///< of the newest service time in the average
     double otherZoneCost = 1.1; ///< factor on the expected time in another zone
     milliseconds slownessLifetime{400}; ///< a load report counts for this long
-    milliseconds firstPause{500}; ///< a server that lost a request rests for this long
+    milliseconds firstPause{500}; ///< a server that loses requests rests for this long
+    /// A server that answers again after losses may be cold for this long without having said so:
+    /// an interval of announcements, and the time until one is read.
+    milliseconds unannouncedStart{1500};
     milliseconds longestPause{3000};
     /// A server that timed out is lost if it had this multiple of its average time.
     double timeoutToLoss = 4.0;
@@ -165,6 +169,7 @@
     {
         TimePoint pausedUntil;
         std::uint32_t losses = 0; ///< in a row
+        bool mayHaveRestarted = false; ///< more than one answer was lost
         std::uint32_t probes = 0; ///< requests at the server since the last loss
     };
 
@@ -177,6 +182,7 @@
         double slowness = 1.0;
         TimePoint slownessAt;
         TimePoint pausedUntil; ///< after it declined a request
+        TimePoint mayBeColdUntil; ///< it may have started anew, unannounced so far
         std::map<AvailabilityZoneId, Trouble> troubles; ///< by the zone of the VMs that had it
         std::deque<TimePoint> grants; ///< within the last second
     };
@@ -228,7 +234,10 @@
     auto refuse(const SlotRequest &request, Duration retryAfter) -> void;
     auto dispatch(Group &group, TimePoint now) -> void;
     static auto free(Server &server, const AvailabilityZoneId &zone) -> void;
-    auto noteLoss(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void;
+    auto noteLoss(Server &server, const AvailabilityZoneId &zone, bool reached, TimePoint now)
+        -> void;
+    auto noteAnswer(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void;
+    [[nodiscard]] static auto isCold(const Server &server, TimePoint now) -> bool;
     auto note(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
               TimePoint now) -> void;
     auto forgetOldGrants(TimePoint now) -> void;
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -21,7 +21,8 @@
     for (const auto &[team, use] : message.uses) {
         uses.push_back({team.value(), use.admitted, use.demand, use.admittedRate});
     }
-    return {static_cast<int>(Kind::Heartbeat), message.leaving, message.topicEnds, std::move(uses)};
+    return {static_cast<int>(Kind::Heartbeat), message.leaving, message.topicEnds, std::move(uses),
+            message.capacity};
 }
 
 auto toJson(const WorkReport &message) -> json
@@ -82,12 +83,14 @@
             message.from,
             message.next,
             std::move(records),
-            message.whole};
+            message.whole,
+            message.age.count()};
 }
 
 auto heartbeatFrom(const json &fields) -> Heartbeat
 {
     auto message = Heartbeat{.leaving = fields.at(1).get<bool>(),
+                             .capacity = fields.at(4).get<double>(),
                              .topicEnds = fields.at(2).get<std::map<std::string, LogOffset>>()};
     for (const auto &row : fields.at(3)) {
         message.uses.emplace(TeamId(row.at(0).get<std::string>()),
@@ -161,6 +164,7 @@
     auto message = TopicUpdate{.topic = fields.at(1).get<std::string>(),
                                .from = fields.at(2).get<LogOffset>(),
                                .next = fields.at(3).get<LogOffset>(),
+                               .age = milliseconds(fields.at(6).get<std::int64_t>()),
                                .whole = fields.at(5).get<bool>()};
     for (const auto &row : fields.at(4)) {
         auto record = KeyedRecord{.offset = message.from + row.at(0).get<LogOffset>(),
--- a/src/core/gateway/fleet_view.cpp
+++ b/src/core/gateway/fleet_view.cpp
@@ -2,22 +2,28 @@
 
 #include <xxhash.h>
 
+#include <cmath>
 #include <utility>
 
 namespace figlanding {
 
 namespace {
 
-auto rank(std::string_view subject, const VmId &vm) -> std::uint64_t
+// A VM with a fifth of the capacity gets a twenty-fifth of the duties, as it has its callers to
+// serve like the others.
+auto rank(std::string_view subject, const VmId &vm, double capacity) -> double
 {
-    return XXH3_64bits_withSeed(subject.data(), subject.size(),
-                                XXH3_64bits(vm.value().data(), vm.value().size()));
+    const auto hash = XXH3_64bits_withSeed(subject.data(), subject.size(),
+                                           XXH3_64bits(vm.value().data(), vm.value().size()));
+    const auto uniform = (static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0; // 2^53
+    return capacity * capacity / -std::log(uniform);
 }
 
 } // namespace
 
-FleetView::FleetView(VmId self, const FleetViewOptions &options)
+FleetView::FleetView(VmId self, double capacity, const FleetViewOptions &options)
     : m_self(std::move(self))
+    , m_capacity(capacity)
     , m_options(options)
 { }
 
@@ -65,10 +71,11 @@
 
 auto FleetView::rankOf(std::string_view subject, TimePoint now) const -> std::size_t
 {
-    const auto own = m_leaving ? std::uint64_t{0} : rank(subject, m_self);
+    const auto own = m_leaving ? 0.0 : rank(subject, m_self, m_capacity);
     auto before = std::size_t{0};
     for (const auto &[vm, member] : m_members) {
-        before += isAlive(member, now) && !member.leaving && rank(subject, vm) > own ? 1 : 0;
+        const auto stays = isAlive(member, now) && !member.leaving;
+        before += stays && rank(subject, vm, member.capacity) > own ? 1 : 0;
     }
     return before;
 }
@@ -77,12 +84,13 @@
     -> VmId
 {
     auto best = m_self;
-    auto bestRank = m_leaving ? std::uint64_t{0} : rank(subject, m_self);
+    auto bestRank = m_leaving ? 0.0 : rank(subject, m_self, m_capacity);
     for (const auto &[vm, member] : m_members) {
         const auto fits = isAlive(member, now) && !member.leaving && !excluded.contains(vm);
-        if (fits && rank(subject, vm) > bestRank) {
+        const auto memberRank = fits ? rank(subject, vm, member.capacity) : 0.0;
+        if (memberRank > bestRank) {
             best = vm;
-            bestRank = rank(subject, vm);
+            bestRank = memberRank;
         }
     }
     return best;
--- a/src/core/gateway/relay_schedule.cpp
+++ b/src/core/gateway/relay_schedule.cpp
@@ -14,10 +14,10 @@
     : m_options(options)
 { }
 
-auto RelaySchedule::onRelayed(TimePoint now) -> void
+auto RelaySchedule::onRelayed(TimePoint readAt) -> void
 {
     m_relayed = true;
-    m_relayedAt = now;
+    m_relayedAt = std::max(m_relayedAt, readAt);
 }
 
 auto RelaySchedule::patience(std::size_t rank) const -> Duration
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -105,17 +105,40 @@
                                                                              : nullptr;
 }
 
-auto SlotBroker::noteLoss(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void
+auto SlotBroker::noteLoss(Server &server, const AvailabilityZoneId &zone, bool reached,
+                          TimePoint now) -> void
 {
     constexpr auto maxDoublings = 4U;
     auto &trouble = server.troubles[zone];
-    const auto factor = std::exp2(std::min(trouble.losses, maxDoublings));
-    const auto pause = std::min(toMs(m_options.firstPause) * factor, toMs(m_options.longestPause));
     trouble.losses += 1;
     trouble.probes = 0;
+    if (reached && trouble.losses == 1) {
+        return; // one lost answer: the next request shows whether the server lives
+    }
+    trouble.mayHaveRestarted = true;
+    const auto factor = std::exp2(std::min(trouble.losses - 1, maxDoublings));
+    const auto pause = std::min(toMs(m_options.firstPause) * factor, toMs(m_options.longestPause));
     trouble.pausedUntil = now + fromMs(pause);
 }
 
+auto SlotBroker::noteAnswer(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void
+{
+    const auto trouble = server.troubles.find(zone);
+    if (trouble == server.troubles.end()) {
+        return;
+    }
+    if (trouble->second.mayHaveRestarted) {
+        server.mayBeColdUntil = now + m_options.unannouncedStart;
+    }
+    server.troubles.erase(trouble);
+}
+
+auto SlotBroker::isCold(const Server &server, TimePoint now) -> bool
+{
+    return server.info.coldUntil > now
+        || (server.mayBeColdUntil > now && server.info.coldRequestsPerSecond > 0.0);
+}
+
 auto SlotBroker::free(Server &server, const AvailabilityZoneId &zone) -> void
 {
     server.running -= server.running > 0 ? 1 : 0;
@@ -135,7 +158,7 @@
     switch (result.end) {
     case SlotEnd::Served:
     case SlotEnd::Failed: {
-        server.troubles.erase(zone);
+        noteAnswer(server, zone, now);
         // What the server would have taken at its usual speed.
         const auto sample =
             toMs(result.elapsed) / std::max(1.0, result.load ? result.load->slowness : 1.0);
@@ -151,12 +174,15 @@
         server.pausedUntil = std::max(server.pausedUntil, now + m_options.declinePause);
         break;
     case SlotEnd::Lost:
-        noteLoss(server, zone, now);
+        noteLoss(server, zone, true, now);
+        break;
+    case SlotEnd::Unreachable:
+        noteLoss(server, zone, false, now);
         break;
     case SlotEnd::TimedOut:
         // A request that had little time left says nothing against its server.
         if (toMs(result.elapsed) > longRunMs(server) * m_options.timeoutToLoss) {
-            noteLoss(server, zone, now);
+            noteLoss(server, zone, true, now);
         }
         break;
     case SlotEnd::Abandoned:
@@ -194,7 +220,7 @@
     if (trouble != nullptr && trouble->probes > 0) {
         return false;
     }
-    if (server.info.coldUntil > now) {
+    if (isCold(server, now)) {
         const auto recent = std::count_if(server.grants.begin(), server.grants.end(),
                                           [&](TimePoint at) { return now - at < grantWindow; });
         return static_cast<double>(recent) + 1.0 <= coldRate(server);
@@ -285,7 +311,7 @@
         result.free = result.free || mayTake(server, request.zone, now);
         const auto warm = server.info.slots / longRunMs(server);
         const auto cold = coldRate(server) / 1000.0;
-        result.perMs += server.info.coldUntil > now ? std::min(warm, cold) : warm;
+        result.perMs += isCold(server, now) ? std::min(warm, cold) : warm;
     };
     if (!request.owner.empty()) {
         if (const auto found = group.servers.find(request.owner); found != group.servers.end()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -51,7 +51,7 @@
         , m_orderClient(loop, {.tcpUserTimeout = serverSilence})
         , m_store(m_storeClient, m_settings.store)
         , m_orders(m_orderClient)
-        , m_view(m_settings.vm, {})
+        , m_view(m_settings.vm, m_settings.cpuShare, {})
         , m_limits({})
         , m_slots(
               {.self = m_settings.vm,
@@ -418,7 +418,8 @@
                          .incarnation = message.incarnation,
                          .address = delivery.from,
                          .heardAt = now,
-                         .leaving = heartbeat->leaving});
+                         .leaving = heartbeat->leaving,
+                         .capacity = heartbeat->capacity});
             m_limits.report(message.from, message.incarnation, heartbeat->uses, now);
             for (auto *follower : followers()) {
                 const auto end = heartbeat->topicEnds.find(follower->topic());
@@ -470,8 +471,10 @@
         const auto now = m_loop.now();
         const auto vms = m_view.aliveCount(now);
         m_limits.setFleetSize(vms);
-        m_link->sendToAll(Heartbeat{
-            .leaving = m_leaving, .topicEnds = topicEnds(), .uses = m_limits.takeUses(now)});
+        m_link->sendToAll(Heartbeat{.leaving = m_leaving,
+                                    .capacity = m_settings.cpuShare,
+                                    .topicEnds = topicEnds(),
+                                    .uses = m_limits.takeUses(now)});
         sendWork();
         if (!m_announced && now >= m_announceAt) {
             m_announceAt = now + milliseconds(1500);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -43,6 +43,7 @@
         settings.zone = AvailabilityZoneId(root.text("zone"));
         readListen(root, settings);
         settings.store = root.address("store");
+        settings.cpuShare = root.fraction("cpu_share", settings.cpuShare);
         settings.announceInterval = root.span("announce_interval", settings.announceInterval);
         readBounds(root, settings);
         const auto level = root.choice("log_level", {"debug", "info", "warning", "error"}, "info");
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -23,6 +23,7 @@
     SocketAddress admin; ///< listens for metrics
     SocketAddress fleet; ///< datagrams of other VMs
     SocketAddress store;
+    double cpuShare = 1.0; ///< share of a core that this VM has
     milliseconds announceInterval{1000}; ///< of the servers, in the store
     milliseconds propagation{2000}; ///< a new configuration is in force everywhere by then
     milliseconds drain{2000}; ///< a leaving server gets no new work after this
--- a/src/gateway/keyed_follower.h
+++ b/src/gateway/keyed_follower.h
@@ -91,7 +91,7 @@
             onAhead(update.next);
             return;
         }
-        m_schedule.onRelayed(m_loop.now());
+        m_schedule.onRelayed(m_loop.now() - update.age);
         if (m_timer.active()) {
             scheduleRead(m_options.pause);
         }
@@ -100,7 +100,7 @@
     auto onAppended(const KeyedRecord &record) -> void
     {
         if (m_known && record.offset == m_next) {
-            takeRead({record}, record.offset + 1);
+            takeRead({record}, record.offset + 1, milliseconds(0));
         }
     }
     /// Returns the offset after the last known record.
@@ -115,6 +115,9 @@
 
 private:
     static constexpr std::size_t maxRelayBytes = 4096; ///< of the records of one datagram
+    /// A larger record is read from the store by each VM for itself. A table of 400 ranges has
+    /// some 20 KB.
+    static constexpr std::size_t maxRecordBytes = std::size_t{32} * 1024;
 
     auto readNext() -> void
     {
@@ -159,9 +162,10 @@
     }
 
     // Applies records that were read and passes on those that changed something.
-    auto takeRead(const std::vector<KeyedRecord> &records, LogOffset next) -> void
+    auto takeRead(const std::vector<KeyedRecord> &records, LogOffset next, milliseconds age) -> void
     {
-        auto part = TopicUpdate{.topic = m_options.topic, .from = m_next, .next = m_next};
+        auto part =
+            TopicUpdate{.topic = m_options.topic, .from = m_next, .next = m_next, .age = age};
         auto bytes = std::size_t{0};
         for (const auto &record : records) {
             if (record.offset < m_next) {
@@ -174,10 +178,10 @@
             const auto size = record.key.size() + record.value.value_or("").size();
             if (bytes > 0 && bytes + size > maxRelayBytes) {
                 m_handlers.relay(part);
-                part = {.topic = m_options.topic, .from = part.next, .next = part.next};
+                part = {.topic = m_options.topic, .from = part.next, .next = part.next, .age = age};
                 bytes = 0;
             }
-            if (size > maxRelayBytes) {
+            if (size > maxRecordBytes) {
                 part.whole = false;
             } else {
                 part.records.push_back(record);
@@ -212,7 +216,10 @@
             onFailure(page.error());
             return;
         }
-        takeRead(page.value().records, page.value().next);
+        // An answer that the store held back is as old as its way to this VM.
+        const auto elapsed =
+            std::chrono::duration_cast<milliseconds>(m_loop.now() - sentAt) - m_options.wait;
+        takeRead(page.value().records, page.value().next, std::max(milliseconds(0), elapsed));
         const auto caughtUp = m_next >= page.value().end;
         if (!caughtUp) {
             m_timer.startOnce(Duration::zero());
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -305,11 +305,7 @@
         running.stage = Stage::Idle;
         running.call = 0;
         if (outcome.verdict != Verdict::Ran) {
-            const auto timedOut = outcome.error.code == ErrorCode::Timeout;
-            m_slots.finish(number,
-                           {.end = timedOut ? SlotEnd::TimedOut : SlotEnd::Lost,
-                            .elapsed = now - running.sentAt},
-                           now);
+            m_slots.finish(number, {.end = endOf(outcome), .elapsed = now - running.sentAt}, now);
             running.record.detail = describe(outcome.error);
             if (outcome.verdict == Verdict::NotRun) {
                 running.attempts -= 1;
@@ -343,6 +339,15 @@
         }
     }
 
+    // How a request ended that got no whole answer.
+    [[nodiscard]] static auto endOf(const HttpOutcome &outcome) -> SlotEnd
+    {
+        if (outcome.verdict == Verdict::NotRun) {
+            return SlotEnd::Unreachable;
+        }
+        return outcome.error.code == ErrorCode::Timeout ? SlotEnd::TimedOut : SlotEnd::Lost;
+    }
+
     [[nodiscard]] static auto endOf(AnswerKind kind) -> SlotEnd
     {
         switch (kind) {
