Free the keys of a crashed server at once when the lost grant was older than its new life

Cause: a grant that was lost on a connection to a crashed server kept its keys for a lease, although the new life of that server cannot have got it.

--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -139,6 +139,9 @@
     milliseconds margin{200}; ///< for timers of this VM that fire late
     milliseconds controllerLease{6000}; ///< renewals go on for this long without the store
     milliseconds unreachableAfter{2500}; ///< a server without answers for this long is not renewed
+    /// A server is heard of at most this long after its start: an interval of announcements, a
+    /// read of the store, and the way of what is passed on.
+    milliseconds longestUnannounced{2000};
     milliseconds avoidAfter{5000}; ///< a server whose lease ran out in silence gets no keys so long
     milliseconds rebalanceInterval{500};
     /// The first owners are chosen when no server has joined for this long ...
--- a/include/figlanding/gateway/server_registry.h
+++ b/include/figlanding/gateway/server_registry.h
@@ -34,7 +34,7 @@
 struct RegisteredServer
 {
     ServerEntry entry;
-    TimePoint heardAt; ///< its announcements last advanced then
+    TimePoint firstHeardAt; ///< of this life
     TimePoint coldUntil;
 
     auto operator==(const RegisteredServer &) const -> bool = default;
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -385,8 +385,11 @@
         // A server whose entry is gone may live on, out of the store's reach.
         const auto leaving = server == nullptr || !inputs.registry.takesWork(*server);
         if (const auto *reborn = newLifeOf(range, inputs.registry)) {
-            const auto idle = range.phase == Phase::Held && !range.underWay && !range.unanswered;
-            if (idle && now >= range.dueAt) {
+            // A grant that was sent before the new life began ended with the old one.
+            const auto sentBefore =
+                reborn->firstHeardAt - range.sentAt >= m_options.longestUnannounced;
+            const auto settled = !range.underWay && (!range.unanswered || sentBefore);
+            if (range.phase == Phase::Held && settled && now >= range.dueAt) {
                 m_addresses[range.owned.owner] = reborn->entry.address;
                 release(id, range, actions);
             }
--- a/src/core/gateway/server_registry.cpp
+++ b/src/core/gateway/server_registry.cpp
@@ -24,7 +24,7 @@
     const auto wasDraining = !newLife && known.draining;
     server.entry = entry;
     server.entry.draining = entry.draining || wasDraining; // a life never returns from draining
-    server.heardAt = now;
+    server.firstHeardAt = newLife ? now : server.firstHeardAt;
     server.coldUntil = now + entry.coldRemaining;
 }
 
