--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -243,17 +243,22 @@
 
 auto KeyController::shouldResign(TimePoint now) const -> bool
 {
-    auto held = std::size_t{0};
-    auto silent = std::size_t{0};
+    // By server, not by range: a few servers may hold most ranges while keys are hot.
+    auto silent = std::map<ServerLife, bool>{};
     for (const auto &[id, service] : m_services) {
         for (const auto &range : service.ranges) {
             if (range.phase == Phase::Held) {
-                ++held;
-                silent += range.lostSince && now - *range.lostSince > m_options.unreachableAfter;
+                const auto lost =
+                    range.lostSince && now - *range.lostSince > m_options.unreachableAfter;
+                silent[range.owned.owner] = silent[range.owned.owner] || lost;
             }
         }
     }
-    return m_active && held > 2 && silent * 2 > held;
+    const auto count =
+        std::count_if(silent.begin(), silent.end(), [](const auto &item) { return item.second; });
+    constexpr auto fewest = std::size_t{3}; // of less, nothing can be said about this VM
+    return m_active && silent.size() >= fewest
+        && static_cast<std::size_t>(count) * 3 > silent.size() * 2;
 }
 
 auto KeyController::tick(const ControllerInputs &inputs, TimePoint now)
