--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -162,6 +162,8 @@
     auto onView(const OwnershipView &view, TimePoint now) -> void;
     /// Notes that the store answered a request that was sent at @p sentAt.
     auto onStoreContact(TimePoint sentAt) -> void;
+    /// Notes that this VM was suspended: what it knew by the steady clock counts no more.
+    auto onSuspended() -> void;
     /// Sets whether the store's group names this VM.
     auto setDuty(bool duty) -> void;
     /// Takes the end of an append.
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -40,6 +40,11 @@
     m_storeContactAt = std::max(m_storeContactAt, sentAt);
 }
 
+auto KeyController::onSuspended() -> void
+{
+    m_storeContactAt = TimePoint{};
+}
+
 auto KeyController::setDuty(bool duty) -> void
 {
     m_duty = duty;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "figlanding/gateway/desired_state.h"
 #include "figlanding/gateway/fleet_records.h"
 #include "figlanding/gateway/server_registry.h"
+#include "figlanding/gateway/suspend_detector.h"
 #include "gateway/fleet_link.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/key_duty.h"
@@ -13,6 +14,7 @@
 
 #include <array>
 #include <cmath>
+#include <ctime>
 #include <memory>
 #include <random>
 #include <set>
@@ -534,8 +536,24 @@
         }
     }
 
+    // Another VM may have taken the keys over while this one stood still.
+    auto noticeSuspension() -> void
+    {
+        auto sinceBoot = timespec{};
+        ::clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
+        const auto suspended = m_suspendDetector.suspendedFor(
+            seconds(sinceBoot.tv_sec) + std::chrono::nanoseconds(sinceBoot.tv_nsec),
+            MonotonicClock::now());
+        if (suspended > Duration::zero()) {
+            const auto ms = std::chrono::duration_cast<milliseconds>(suspended).count();
+            logEvent(LogLevel::Warning, "suspended", {{"ms", ms}});
+            m_duty.onSuspended();
+        }
+    }
+
     auto control() -> void
     {
+        noticeSuspension();
         logQueue(m_loop.now());
         decayLoads();
         auto inputs = ControllerInputs{.registry = m_registry,
@@ -595,6 +613,7 @@
     StoreType m_store;
     typename Platform::OrderSender m_orders;
     std::shared_ptr<const DesiredStateIndex> m_state;
+    SuspendDetector m_suspendDetector;
     ServerRegistry m_registry;
     bool m_serversKnown = false;
     bool m_serversChanged = false;
--- a/src/gateway/key_duty.h
+++ b/src/gateway/key_duty.h
@@ -84,6 +84,10 @@
     {
         m_controller.onStoreContact(sentAt);
     }
+    auto onSuspended() -> void
+    {
+        m_controller.onSuspended();
+    }
     [[nodiscard]] auto active() const -> bool
     {
         return m_controller.active();
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -5,6 +5,7 @@
 #include "figlanding/gateway/fleet_view.h"
 #include "figlanding/gateway/relay_schedule.h"
 #include "figlanding/gateway/server_registry.h"
+#include "figlanding/gateway/suspend_detector.h"
 #include "figlanding/gateway/time_text.h"
 
 #include <doctest/doctest.h>
@@ -278,6 +279,15 @@
     CHECK(patience.spent(RouteId("r"), {}) == milliseconds(0));
 }
 
+TEST_CASE("a suspension shows as boot time that the steady clock does not count")
+{
+    auto detector = SuspendDetector();
+    CHECK(detector.suspendedFor(seconds(50), start) == Duration::zero());
+    CHECK(detector.suspendedFor(seconds(51), start + seconds(1)) == Duration::zero());
+    CHECK(detector.suspendedFor(seconds(55), start + seconds(2)) == seconds(3));
+    CHECK(detector.suspendedFor(seconds(56), start + seconds(3)) == Duration::zero());
+}
+
 TEST_CASE("spans of time have a number and a unit")
 {
     const auto parse = [](const char *text) {
