Ask for no longer lease than servers take

Cause: the lease of 6 s was fixed, although the platform names the longest one; a deployment with a shorter bound would refuse every grant. Test: the lease, its renewals and the holder's own time shrink together.

--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -152,6 +152,10 @@
     auto operator==(const KeyControllerOptions &) const -> bool = default;
 };
 
+/// Shortens the lease of @p options, and the times that depend on it, to what servers take.
+[[nodiscard]] auto withLongestLease(KeyControllerOptions options, milliseconds longest)
+    -> KeyControllerOptions;
+
 /// The decisions of the VM that assigns keys.
 class KeyController
 {
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -5,6 +5,19 @@
 
 namespace figlanding {
 
+auto withLongestLease(KeyControllerOptions options, milliseconds longest) -> KeyControllerOptions
+{
+    if (longest < options.lease) {
+        const auto scale = [&](milliseconds span) {
+            return span * longest.count() / options.lease.count();
+        };
+        options.renewInterval = scale(options.renewInterval);
+        options.controllerLease = scale(options.controllerLease);
+        options.lease = longest;
+    }
+    return options;
+}
+
 KeyController::KeyController(KeyControllerOptions options)
     : m_options(std::move(options))
 { }
--- a/tests/unit/key_controller_test.cpp
+++ b/tests/unit/key_controller_test.cpp
@@ -43,6 +43,16 @@
 
 } // namespace
 
+TEST_CASE("a lease is no longer than servers take, and is renewed in time all the same")
+{
+    const auto usual = KeyControllerOptions{};
+    CHECK(withLongestLease(usual, seconds(10)).lease == usual.lease);
+    const auto shorter = withLongestLease(usual, seconds(3));
+    CHECK(shorter.lease == seconds(3));
+    CHECK(shorter.renewInterval * 3 < shorter.lease);
+    CHECK(shorter.controllerLease <= shorter.lease);
+}
+
 TEST_CASE("without faults all keys are owned after two records: the claim and the table")
 {
     const auto outcome = playKeyWorld({.seed = 1, .faults = {}});
