--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -319,8 +319,8 @@
 
 HttpClient::~HttpClient() = default;
 
-auto HttpClient::call(const SocketAddress &address, HttpRequest request, HttpCallOptions options,
-                      Callback callback) -> CallId
+auto HttpClient::call(const SocketAddress &address, HttpRequest request,
+                      const HttpCallOptions &options, Callback callback) -> CallId
 {
     return m_impl->call(address, std::move(request), options, std::move(callback));
 }
@@ -335,7 +335,7 @@
     return m_impl->active.size() + m_impl->rejected.size();
 }
 
-auto callAndWait(const SocketAddress &address, HttpRequest request, HttpCallOptions options)
+auto callAndWait(const SocketAddress &address, HttpRequest request, const HttpCallOptions &options)
     -> HttpOutcome
 {
     auto loop = EventLoop();
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -69,7 +69,7 @@
     auto operator=(const HttpClient &) -> HttpClient & = delete;
 
     /// Sends a request; @p callback runs once, never before call() returns.
-    auto call(const SocketAddress &address, HttpRequest request, HttpCallOptions options,
+    auto call(const SocketAddress &address, HttpRequest request, const HttpCallOptions &options,
               Callback callback) -> CallId;
     /// Ends a call without running its callback; closes its connection.
     auto cancel(CallId id) -> void;
@@ -83,6 +83,6 @@
 
 /// Sends one request and waits for the answer on a loop of its own. For tools and tests.
 [[nodiscard]] auto callAndWait(const SocketAddress &address, HttpRequest request,
-                               HttpCallOptions options) -> HttpOutcome;
+                               const HttpCallOptions &options) -> HttpOutcome;
 
 } // namespace figlanding
