--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -34,8 +34,8 @@
 class Caller
 {
 public:
-    auto call(const SocketAddress &address, HttpRequest request, HttpCallOptions options = {})
-        -> HttpOutcome
+    auto call(const SocketAddress &address, HttpRequest request,
+              const HttpCallOptions &options = {}) -> HttpOutcome
     {
         auto result = HttpOutcome{};
         m_client.call(address, std::move(request), options, [&](HttpOutcome outcome) {
