--- a/tests/unit/slot_broker_test.cpp
+++ b/tests/unit/slot_broker_test.cpp
@@ -131,7 +131,7 @@
                   {.end = SlotEnd::TimedOut, .elapsed = milliseconds(100)}, start);
     broker.ask(request(2, start), start);
     CHECK(grantedTo(broker.takeDecisions(), 2) == "s1");
-    for (const std::uint64_t number : {2, 3}) {
+    for (const std::uint64_t number : {std::uint64_t{2}, std::uint64_t{3}}) {
         broker.ask(request(number, start), start);
         broker.finish({.vm = VmId("vm"), .number = number},
                       {.end = SlotEnd::TimedOut, .elapsed = milliseconds(900)}, start);
