Give each grant of keys a higher fence

Ruled out: renewals on kept connections only (a server closes connections at will, so a record would be needed for each); a record for each round of renewals (20 KB each at 400 ranges). Change: the term of the claim is the upper part of a fence and its holder counts the lower part, so a renewal has a new fence without a record. A holder that takes over needs no record before it renews; one that has used up the fences of a term claims a new one.

--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -19,11 +19,15 @@
 ///
 /// Every change of an owner is a record in the store before it is an order to a server. Records
 /// are appended on the condition that the topic still ends where this VM read it, so a VM that
-/// has lost the claim cannot change anything. What the order of events must ensure:
+/// has lost the claim cannot change anything. Each grant, also one that renews a lease, has a
+/// higher fence than all before it: the term of the claim is the upper part of a fence, and the
+/// holder counts the lower part, so it needs no record for a fence. What the order of events must
+/// ensure:
 ///
-/// - A range leaves a live server only after that server released it, and only if every earlier
-///   grant of the range was answered or has a lower fence than one that was: a late grant of
-///   a lower fence is refused by the server.
+/// - A range leaves a live server only after that server released it, and only if the last grant
+///   of the range was answered: the server refuses a late grant of a lower fence.
+/// - A server that started anew within an interval of renewals takes the next one like a first
+///   grant; its fence is above all that the earlier life had.
 /// - A server that started anew under the same name may have taken a grant meant for its earlier
 ///   life. It is told to release the range like a live owner.
 /// - A range leaves a silent server only when its lease has run out, counted from the last
@@ -67,6 +71,7 @@
 {
     LogOffset expectedEnd = 0;
     ServiceId service;
+    Fence fence = 0; ///< of the ranges that the record changes
     OwnershipTable table;
 
     auto operator==(const AppendTable &) const -> bool = default;
@@ -99,6 +104,10 @@
     auto operator==(const ReleaseOrder &) const -> bool = default;
 };
 
+/// Bits of a fence that count the grants of one term. The term has the bits above; together they
+/// stay below 2^53, so that a server may read fences as floating-point numbers.
+inline constexpr unsigned fenceCountBits = 32;
+
 using ControllerAction = std::variant<AppendClaim, AppendTable, GrantOrder, ReleaseOrder>;
 
 /// How an append ended.
@@ -145,6 +154,8 @@
     milliseconds longestUnannounced{2000};
     milliseconds avoidAfter{5000}; ///< a server whose lease ran out in silence gets no keys so long
     milliseconds rebalanceInterval{500};
+    /// A holder that has given out this many fences claims a new term.
+    std::uint64_t fencesPerTerm = std::uint64_t{1} << (fenceCountBits - 1);
     /// The first owners are chosen when no server has joined for this long ...
     milliseconds firstOwnersPause{500};
     milliseconds firstOwnersLatest{1500}; ///< ... or this long after the first one
@@ -197,10 +208,11 @@
     {
         OwnedRange owned;
         Phase phase = Phase::Held;
-        bool needsFence = true; ///< a grant of unknown effect may still arrive
-        bool confirmed = false; ///< a grant with the present fence was accepted
+        bool needsRecord = false; ///< a higher fence was seen: another VM may hold the claim
+        bool confirmed = false; ///< the last grant was accepted
         bool underWay = false; ///< a grant has not ended yet
-        bool unanswered = false; ///< a grant since the last accepted one may still take effect
+        /// A grant since the last accepted one, or of an earlier term, may still take effect.
+        bool unanswered = false;
         TimePoint sentAt; ///< of the last grant, or of the record that made the owner
         TimePoint dueAt; ///< of the next grant
         std::optional<TimePoint> lostSince; ///< first unanswered grant since the last answer
@@ -229,6 +241,9 @@
     [[nodiscard]] static auto expectedEndOf(const Append &append) -> LogOffset;
     auto settleConflict(TimePoint now) -> void;
     [[nodiscard]] auto holdsClaim() const -> bool;
+    [[nodiscard]] auto nextFence() -> Fence;
+    auto beginTerm(TimePoint now) -> void;
+    auto endTerm() -> void;
     auto learnAddresses(const ServerRegistry &registry) -> void;
     [[nodiscard]] auto addressOf(const ServerLife &life) const -> std::optional<SocketAddress>;
     auto split(Service &service, const KeyRange &keys) -> void;
@@ -278,6 +293,7 @@
     std::map<ServerLife, TimePoint> m_avoidedUntil;
     std::map<ServerLife, SocketAddress> m_addresses; ///< last known, also of servers that left
     std::uint64_t m_nextOrder = 1;
+    std::uint64_t m_fenceCount = 0; ///< fences given out in this term
 };
 
 } // namespace figlanding
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -69,6 +69,12 @@
         && claim.term > 0;
 }
 
+auto KeyController::nextFence() -> Fence
+{
+    m_fenceCount += 1;
+    return (m_view.claim.term << fenceCountBits) + m_fenceCount;
+}
+
 auto KeyController::onView(const OwnershipView &view, TimePoint now) -> void
 {
     if (m_viewed && view.end < m_view.end) {
@@ -77,16 +83,28 @@
     m_view = view;
     m_viewed = true;
     if (m_active && !holdsClaim()) {
-        m_active = false;
         m_append.reset();
         m_awaitsView = false;
-        m_services.clear();
-        m_orders.clear();
+        endTerm();
         return;
     }
     settleConflict(now);
 }
 
+auto KeyController::beginTerm(TimePoint now) -> void
+{
+    m_active = true;
+    m_fenceCount = 0;
+    m_previousRenewsUntil = now + m_options.controllerLease;
+}
+
+auto KeyController::endTerm() -> void
+{
+    m_active = false;
+    m_services.clear();
+    m_orders.clear();
+}
+
 // The record that stands where an append was to go may be that append itself, done without an
 // answer. The topic tells which one it is, as soon as it is read up to there.
 auto KeyController::settleConflict(TimePoint now) -> void
@@ -102,9 +120,9 @@
     if (!holdsClaim()) {
         return;
     }
-    if (!std::exchange(m_active, true)) {
+    if (!m_active) {
         m_previousHolder = true; // the claim may have replaced another one
-        m_previousRenewsUntil = now + m_options.controllerLease;
+        beginTerm(now);
     }
     adopt(now);
 }
@@ -121,7 +139,7 @@
             const auto free = owned.owner.server.empty();
             service.ranges.push_back({.owned = owned,
                                       .phase = free ? Phase::Free : Phase::Held,
-                                      .needsFence = !free,
+                                      .unanswered = !free,
                                       .sentAt = now});
         }
     }
@@ -147,9 +165,8 @@
     m_view.end = std::max(m_view.end, expectedEnd + 1);
     if (const auto *claim = std::get_if<AppendClaim>(&done)) {
         m_previousHolder = m_view.claim.term > 0;
-        m_previousRenewsUntil = now + m_options.controllerLease;
         m_view.claim = claim->claim;
-        m_active = true;
+        beginTerm(now);
         adopt(now);
         return;
     }
@@ -159,12 +176,12 @@
     service.hadOwners = true;
     for (auto &range : service.ranges) {
         const auto *recorded = findRange(record.table, range.owned.keys.from);
-        if (recorded == nullptr || recorded->fence != record.expectedEnd + 1) {
+        if (recorded == nullptr || recorded->fence != record.fence) {
             continue;
         }
         const auto sameOwner = range.phase == Phase::Held && range.owned.owner == recorded->owner;
         const auto keys = range.owned.keys;
-        auto next = Range{.owned = *recorded, .phase = Phase::Held, .needsFence = false};
+        auto next = Range{.owned = *recorded, .phase = Phase::Held};
         next.owned.keys = keys;
         next.sentAt = sameOwner ? range.sentAt : now;
         next.lostSince = sameOwner ? range.lostSince : std::nullopt;
@@ -197,15 +214,15 @@
         range.underWay = false;
         range.closedPort = end == OrderEnd::NoProcess ? range.closedPort + 1 : 0;
         range.dueAt = now + m_options.retryInterval;
+        range.confirmed = end == OrderEnd::Accepted;
         switch (end) {
         case OrderEnd::Accepted:
             range.dueAt = range.sentAt + m_options.renewInterval;
-            range.confirmed = true;
             range.unanswered = false;
             range.lostSince.reset();
             break;
         case OrderEnd::Refused:
-            range.needsFence = true;
+            range.needsRecord = true;
             break;
         case OrderEnd::OtherServer:
             range.otherServer = true;
@@ -215,8 +232,6 @@
             [[fallthrough]];
         case OrderEnd::NotSent:
         case OrderEnd::NoProcess:
-            // The next grant may meet another life, which must not get the same fence.
-            range.needsFence = true;
             range.lostSince = range.lostSince.value_or(now);
             break;
         }
@@ -240,10 +255,10 @@
             range.owned.handOver = handOver;
             return;
         }
-        // The release may have taken effect or not: a new fence makes the owner certain again.
+        // The release may have taken effect or not: a new grant makes the owner certain again.
         range.phase = Phase::Held;
         range.dueAt = now + m_options.retryInterval;
-        range.needsFence = true;
+        range.confirmed = false;
         range.target.reset();
         range.lostSince = range.lostSince.value_or(now);
         range.closedPort = end == OrderEnd::NoProcess ? range.closedPort + 1 : 0;
@@ -280,6 +295,9 @@
         m_appendUnderWay = true;
         std::visit([&](const auto &append) { actions.emplace_back(append); }, *m_append);
     }
+    if (m_active && !m_append && m_fenceCount >= m_options.fencesPerTerm) {
+        endTerm();
+    }
     if (!m_active) {
         if (m_duty && m_viewed && !m_append && !m_awaitsView) {
             m_append = AppendClaim{.expectedEnd = m_view.end,
@@ -298,8 +316,7 @@
         auto &service = m_services[id];
         if (service.ranges.empty()) {
             service.ranges.push_back({.owned = unownedTable().ranges.front(),
-                                      .phase = Phase::Free,
-                                      .needsFence = false});
+                                      .phase = Phase::Free});
             service.rebalancedAt = now;
         }
         tickService(id, service, inputs, now, actions);
--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -83,10 +83,10 @@
                                       .fence = range.owned.fence});
 }
 
-// Every earlier grant of the range has been answered, or has a lower fence than one that was.
+// A grant that was not answered has a lower fence than one that was.
 auto KeyController::isMovable(const Range &range) -> bool
 {
-    return range.phase == Phase::Held && range.confirmed && !range.needsFence && !range.underWay;
+    return range.phase == Phase::Held && range.confirmed && !range.needsRecord && !range.underWay;
 }
 
 auto KeyController::newLifeOf(const Range &range, const ServerRegistry &registry)
@@ -259,27 +259,29 @@
         return;
     }
     planFree(id, service, inputs, now);
-    const auto fence = m_view.end + 1;
-    auto table = OwnershipTable{};
-    auto changed = false;
-    for (const auto &range : service.ranges) {
-        auto owned = range.owned;
-        const auto placed = range.phase == Phase::Free && range.target;
-        const auto renewed = range.phase == Phase::Held && range.needsFence && !range.underWay
+    const auto isPlaced = [](const Range &range) {
+        return range.phase == Phase::Free && range.target.has_value();
+    };
+    const auto isChanged = [&](const Range &range) {
+        const auto confirms = range.phase == Phase::Held && range.needsRecord && !range.underWay
             && newLifeOf(range, inputs.registry) == nullptr;
-        if (placed) {
-            owned.owner = *range.target;
-        }
-        if (placed || renewed) {
-            owned.fence = fence;
-            changed = true;
-        }
-        table.ranges.push_back(std::move(owned));
-    }
-    if (!changed) {
+        return isPlaced(range) || confirms;
+    };
+    if (std::none_of(service.ranges.begin(), service.ranges.end(), isChanged)) {
         return;
     }
-    m_append = AppendTable{.expectedEnd = m_view.end, .service = id, .table = std::move(table)};
+    const auto fence = nextFence();
+    auto table = tableOf(service);
+    for (std::size_t i = 0; i < table.ranges.size(); ++i) {
+        const auto &range = service.ranges[i];
+        auto &owned = table.ranges[i];
+        owned.owner = isPlaced(range) ? *range.target : owned.owner;
+        owned.fence = isChanged(range) ? fence : owned.fence;
+    }
+    m_append = AppendTable{.expectedEnd = m_view.end,
+                           .service = id,
+                           .fence = fence,
+                           .table = std::move(table)};
     m_appendUnderWay = true;
     actions.emplace_back(std::get<AppendTable>(*m_append));
 }
@@ -289,15 +291,19 @@
 {
     for (auto &range : service.ranges) {
         const auto gaveUp = range.lostSince && now - *range.lostSince > m_options.unreachableAfter;
+        // A new life is released; a grant that it accepts first outdates those that may arrive late.
+        const auto *reborn = newLifeOf(range, inputs.registry);
         const auto gone = inputs.registry.find(range.owned.owner.server) == nullptr
-            || newLifeOf(range, inputs.registry) != nullptr;
-        if (range.phase != Phase::Held || range.underWay || range.needsFence || gone || gaveUp) {
+            || (reborn != nullptr && !range.unanswered);
+        if (range.phase != Phase::Held || range.underWay || range.needsRecord || gone || gaveUp) {
             continue;
         }
-        const auto address = addressOf(range.owned.owner);
+        const auto address = reborn != nullptr ? std::optional(reborn->entry.address)
+                                               : addressOf(range.owned.owner);
         if (now < range.dueAt || !address) {
             continue;
         }
+        range.owned.fence = nextFence();
         range.sentAt = now;
         range.underWay = true;
         const auto order = m_nextOrder++;
--- a/tests/unit/key_controller_test.cpp
+++ b/tests/unit/key_controller_test.cpp
@@ -93,6 +93,22 @@
     checkSafeAndServed(everything);
 }
 
+TEST_CASE("keys have one owner, and fences still rise, when a term runs out of fences")
+{
+    auto records = std::uint64_t{0};
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto outcome = playKeyWorld(
+            {.seed = seed,
+             .faults = {.lateOrder = 0.2, .crashes = true},
+             .change = [](KeyControllerOptions &options) { options.fencesPerTerm = 20; }});
+        CAPTURE(seed);
+        CHECK(outcome.violation == "");
+        CHECK(outcome.unowned == 0);
+        records += outcome.records;
+    }
+    CHECK(records > seeds * 8); // terms were claimed anew
+}
+
 TEST_CASE("the world finds a lease that is counted too short")
 {
     CHECK(violations({.lateOrder = 0.3, .silences = true},
