--- /dev/null
+++ b/src/core/compression.cpp
@@ -0,0 +1,69 @@
+#include "core/compression.h"
+
+#include <zlib.h>
+
+#include <new>
+
+namespace figlanding {
+
+namespace {
+
+constexpr std::size_t lengthBytes = 4; ///< big-endian, of the uncompressed bytes
+
+auto native(const char *bytes) -> const Bytef *
+{
+    return reinterpret_cast<const Bytef *>(bytes);
+}
+
+auto native(char *bytes) -> Bytef *
+{
+    return reinterpret_cast<Bytef *>(bytes);
+}
+
+} // namespace
+
+auto compress(std::string_view bytes) -> std::string
+{
+    auto result = std::string{};
+    for (auto shift = 24; shift >= 0; shift -= 8) {
+        result.push_back(static_cast<char>((bytes.size() >> shift) & 0xff));
+    }
+    auto size = compressBound(static_cast<uLong>(bytes.size()));
+    result.resize(lengthBytes + size);
+    // With a buffer of compressBound() bytes only a lack of memory could make this fail.
+    const auto status = compress2(native(result.data() + lengthBytes), &size, native(bytes.data()),
+                                  static_cast<uLong>(bytes.size()), Z_BEST_SPEED);
+    if (status != Z_OK) {
+        throw std::bad_alloc();
+    }
+    result.resize(lengthBytes + size);
+    return result;
+}
+
+auto decompress(std::string_view bytes, std::size_t mostBytes) -> Result<std::string>
+{
+    if (bytes.size() < lengthBytes) {
+        return fail(ErrorCode::InvalidSyntax, "compressed message without its length");
+    }
+    auto length = std::size_t{0};
+    for (const auto byte : bytes.substr(0, lengthBytes)) {
+        length = (length << 8) | static_cast<unsigned char>(byte);
+    }
+    if (length > mostBytes) {
+        return fail(ErrorCode::InvalidSyntax,
+                    "compressed message of " + std::to_string(length) + " bytes, at most "
+                        + std::to_string(mostBytes));
+    }
+    auto result = std::string(length, '\0');
+    auto size = static_cast<uLongf>(length);
+    const auto content = bytes.substr(lengthBytes);
+    const auto status = uncompress(native(result.data()), &size, native(content.data()),
+                                   static_cast<uLong>(content.size()));
+    if (status != Z_OK || size != length) {
+        return fail(ErrorCode::InvalidSyntax,
+                    "compressed message is damaged: zlib status " + std::to_string(status));
+    }
+    return result;
+}
+
+} // namespace figlanding
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -1,6 +1,7 @@
 #include "figlanding/gateway/fleet_messages.h"
 
 #include "core/cbor.h"
+#include "core/compression.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,13 +14,25 @@
 
 using nlohmann::json;
 
+// Slot messages and heartbeats are smaller; records of servers and owners shrink to a half or less.
+constexpr std::size_t leastCompressed = 1500;
+constexpr std::size_t mostMessageBytes = std::size_t{1024} * 1024;
+constexpr char compressedMark = 1; ///< no CBOR array begins with it
+
 enum class Kind : int { Heartbeat = 1, Ask = 2, Answer = 3, Done = 4, Topic = 5, Work = 6 };
 
+// CBOR writes a number in four bytes instead of eight if that loses nothing.
+auto inShort(double value) -> double
+{
+    return static_cast<double>(static_cast<float>(value));
+}
+
 auto toJson(const Heartbeat &message) -> json
 {
     auto uses = json::array();
     for (const auto &[team, use] : message.uses) {
-        uses.push_back({team.value(), use.admitted, use.demand, use.admittedRate});
+        uses.push_back(
+            {team.value(), use.admitted, inShort(use.demand), inShort(use.admittedRate)});
     }
     return {static_cast<int>(Kind::Heartbeat), message.leaving, message.topicEnds, std::move(uses),
             message.capacity};
@@ -202,13 +215,22 @@
 auto encodeFleetMessage(const FleetMessage &message) -> std::string
 {
     auto payload = std::visit([](const auto &content) { return toJson(content); }, message.payload);
-    const auto bytes =
+    const auto cbor =
         json::to_cbor(json{message.from.value(), message.incarnation, std::move(payload)});
-    return {bytes.begin(), bytes.end()};
+    auto bytes = std::string(cbor.begin(), cbor.end());
+    if (bytes.size() < leastCompressed) {
+        return bytes;
+    }
+    return std::string(1, compressedMark).append(compress(bytes));
 }
 
 auto decodeFleetMessage(std::string_view bytes) -> Result<FleetMessage>
 {
+    auto whole = std::string{};
+    if (!bytes.empty() && bytes.front() == compressedMark) {
+        BOOST_LEAF_ASSIGN(whole, decompress(bytes.substr(1), mostMessageBytes));
+        bytes = whole;
+    }
     BOOST_LEAF_AUTO(fields, parseCbor(bytes));
     try {
         BOOST_LEAF_AUTO(payload, payloadFrom(fields.at(2)));
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -6,6 +6,12 @@
 
 namespace figlanding {
 
+namespace {
+
+constexpr std::size_t maxDatagramBytes = 60'000; ///< UDP over IPv4 takes 65,507
+
+} // namespace
+
 FleetLink::FleetLink(FleetLinkOptions options, const FleetView &view, Handler handler)
     : m_options(std::move(options))
     , m_view(view)
@@ -42,6 +48,14 @@
 auto FleetLink::sendToAll(const FleetPayload &payload) -> void
 {
     const auto bytes = encode(payload);
+    const auto *update = std::get_if<TopicUpdate>(&payload);
+    if (bytes.size() > maxDatagramBytes && update != nullptr && update->whole) {
+        auto without = *update;
+        without.records.clear();
+        without.whole = false; // the others read the records from the store
+        sendToAll(without);
+        return;
+    }
     for (const auto &[vm, member] : m_view.members()) {
         m_socket->send(bytes, member.address);
     }
--- a/src/gateway/keyed_follower.h
+++ b/src/gateway/keyed_follower.h
@@ -114,9 +114,10 @@
 
 private:
     static constexpr std::size_t maxRelayBytes = 4096; ///< of the records of one datagram
-    /// A larger record does not fit into a datagram: each VM reads it from the store for itself. A
-    /// table of 400 ranges has some 16 KB.
-    static constexpr std::size_t maxRecordBytes = std::size_t{56} * 1024;
+    /// A larger record does not fit into a datagram, also compressed: each VM reads it from the
+    /// store for itself. A configuration of 120 routes and 90 teams has some 40 KB, a table of 400
+    /// ranges 16 KB.
+    static constexpr std::size_t maxRecordBytes = std::size_t{96} * 1024;
 
     auto readNext() -> void
     {
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -268,6 +268,32 @@
     CHECK(schedule.delay(1, pause, false, start + seconds(2)) == pause);
 }
 
+TEST_CASE("large records of a configuration fit into a datagram, and damaged ones are refused")
+{
+    auto value = std::string{};
+    for (auto i = 0; i < 500; ++i) {
+        value += R"({"Name":"r-)" + std::to_string(i * 7919)
+            + R"(","PathPrefix":"/a/","Timeout":"1000ms","Attempts":2,"Public":false},)";
+    }
+    const auto message = FleetMessage{
+        .from = VmId("a"),
+        .incarnation = "1",
+        .payload = TopicUpdate{
+            .topic = "t", .next = 1, .records = {{.offset = 0, .key = "k", .value = value}}}};
+    auto bytes = encodeFleetMessage(message);
+    REQUIRE(value.size() > 30'000);
+    CHECK(bytes.size() < 10'000);
+    const auto decode = [](std::string_view text) {
+        return valueOrElse([&] { return decodeFleetMessage(text); },
+                           [](const Error &) { return FleetMessage{}; });
+    };
+    CHECK(decode(bytes) == message);
+    CHECK(decode(std::string_view(bytes).substr(0, bytes.size() - 5)) == FleetMessage{});
+    CHECK(decode(std::string_view(bytes).substr(0, 3)) == FleetMessage{});
+    bytes[1] = '\x7f'; // claims to be two gigabytes long
+    CHECK(decode(bytes) == FleetMessage{});
+}
+
 TEST_CASE("what a VM reads to fill a gap of its own is not passed on to all others")
 {
     auto schedule = RelaySchedule({.period = milliseconds(500), .step = milliseconds(100)});
