Give up a read of the store that stays silent

Their read had gone out on a connection that stayed silent until its time-out of 2.1 s; a VM that hears of records ahead only acts between reads. Meanwhile each heartbeat made a refused VM ask at once again, against its growing pause. Ruled out: the price of large pages (200 KB take 0.2 s on 10 Mbit/s), records that were not passed on. Change: a read without an answer for 400 ms, of records that another VM has read, is sent again on a new connection; a VM whose reads fail keeps to its pause.

--- a/include/figlanding/gateway/relay_schedule.h
+++ b/include/figlanding/gateway/relay_schedule.h
@@ -21,6 +21,9 @@
 {
     milliseconds period{500}; ///< between two reads of the VM that reads, with the store's wait
     milliseconds step{120}; ///< between the ranks
+    /// A read of records that are there is answered within some ms; its connection has gone silent
+    /// after this time.
+    milliseconds silentAfter{400};
     milliseconds firstRetry{250}; ///< after one failed read; doubled with each further one
     milliseconds longestRetry{1000}; ///< a view may be late by this when the store is back
 
@@ -45,6 +48,8 @@
     /// Returns whether others wait for what this VM reads: it has the first rank, or nothing was
     /// passed on in time.
     [[nodiscard]] auto passesOn(std::size_t rank, TimePoint now) const -> bool;
+    /// Returns whether a read that was sent at @p sentAt and should have an answer by now is lost.
+    [[nodiscard]] auto isSilent(TimePoint sentAt, TimePoint now) const -> bool;
     /// Returns the pause after a read that failed, which grows with the failures in a row: calls
     /// that the store refuses cost as much as others.
     [[nodiscard]] auto pauseAfterFailure(std::uint32_t failures) const -> Duration;
--- a/include/figlanding/gateway/store.h
+++ b/include/figlanding/gateway/store.h
@@ -51,6 +51,7 @@
     std::string topic;
     LogOffset from = 0;
     milliseconds wait{}; ///< the store holds the answer back this long for a first record
+    bool freshConnection = false; ///< for when an earlier read got no answer
 };
 
 /// What to append.
--- a/src/core/gateway/relay_schedule.cpp
+++ b/src/core/gateway/relay_schedule.cpp
@@ -48,6 +48,11 @@
     return rank == 0 || m_relayedAt + patience(rank) <= now;
 }
 
+auto RelaySchedule::isSilent(TimePoint sentAt, TimePoint now) const -> bool
+{
+    return now - sentAt >= m_options.silentAfter;
+}
+
 auto RelaySchedule::pauseAfterFailure(std::uint32_t failures) const -> Duration
 {
     constexpr auto maxDoublings = 8U;
--- a/src/gateway/keyed_follower.h
+++ b/src/gateway/keyed_follower.h
@@ -119,18 +119,30 @@
     /// ranges 16 KB.
     static constexpr std::size_t maxRecordBytes = std::size_t{96} * 1024;
 
-    auto readNext() -> void
+    auto readNext(bool freshConnection = false) -> void
     {
         m_timer.stop();
         const auto sentAt = m_loop.now();
+        const auto number = ++m_reads;
+        m_sentAt = sentAt;
         if (!m_known) {
-            m_store.readNewest(m_options.topic, [this, sentAt](Settled<KeyedSnapshot> snapshot) {
-                onSnapshot(sentAt, snapshot);
-            });
+            m_store.readNewest(m_options.topic,
+                               [this, sentAt, number](const Settled<KeyedSnapshot> &snapshot) {
+                                   if (number == m_reads) {
+                                       onSnapshot(sentAt, snapshot);
+                                   }
+                               });
             return;
         }
-        m_store.read({.topic = m_options.topic, .from = m_next, .wait = m_options.wait},
-                     [this, sentAt](Settled<KeyedPage> page) { onPage(sentAt, page); });
+        m_store.read({.topic = m_options.topic,
+                      .from = m_next,
+                      .wait = m_options.wait,
+                      .freshConnection = freshConnection},
+                     [this, sentAt, number](const Settled<KeyedPage> &page) {
+                         if (number == m_reads) {
+                             onPage(sentAt, page);
+                         }
+                     });
     }
 
     auto scheduleRead(Duration pause, bool failed = false) -> void
@@ -139,10 +151,20 @@
             m_schedule.delay(m_handlers.rank(m_options.topic), pause, failed, m_loop.now()));
     }
 
+    // Another VM has read more. While the store turns this VM away, it asks at its own pace.
     auto catchUp() -> void
     {
-        if (m_aheadEnd > m_next) {
-            hurry();
+        if (!m_known || m_aheadEnd <= m_next) {
+            return;
+        }
+        m_catchUpTimer.startOnce(m_options.catchUpPause);
+        if (m_failures > 0) {
+            return;
+        }
+        if (m_timer.active()) {
+            readNext();
+        } else if (m_schedule.isSilent(m_sentAt, m_loop.now())) {
+            readNext(true);
         }
     }
 
@@ -268,6 +290,8 @@
     LogOffset m_aheadEnd = 0; ///< another VM has read up to here
     bool m_known = false;
     std::uint32_t m_failures = 0; ///< in a row
+    std::uint64_t m_reads = 0; ///< sent so far; an answer to an earlier one is ignored
+    TimePoint m_sentAt; ///< of the last read
     LogOffset m_next = 0;
 };
 
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -268,6 +268,13 @@
     CHECK(schedule.delay(1, pause, false, start + seconds(2)) == pause);
 }
 
+TEST_CASE("a read of records that are there is lost when it gets no answer")
+{
+    const auto schedule = RelaySchedule({.silentAfter = milliseconds(400)});
+    CHECK_FALSE(schedule.isSilent(start, start + milliseconds(399)));
+    CHECK(schedule.isSilent(start, start + milliseconds(400)));
+}
+
 TEST_CASE("large records of a configuration fit into a datagram, and damaged ones are refused")
 {
     auto value = std::string{};
