Keep the highest fence of ranges that are joined

Cause: found by reading the change again: the fence of a joined range was that of its front part, so a release before the next renewal could name a lower fence than the rear part was granted with. Change: the joined range keeps the higher fence; the test plans before it moves.

--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -339,6 +339,7 @@
         }
         auto &front = joined.back();
         front.owned.keys.to = range.owned.keys.to;
+        front.owned.fence = std::max(front.owned.fence, range.owned.fence);
         front.sentAt = std::max(front.sentAt, range.sentAt);
         front.dueAt = std::min(front.dueAt, range.dueAt);
     }
--- a/tests/unit/key_ownership_test.cpp
+++ b/tests/unit/key_ownership_test.cpp
@@ -161,7 +161,8 @@
     const auto loads = std::vector<float>(shardKeyCount, 0.005F);
     auto busiest = 0.0;
     for (auto round = 0; round < 40; ++round) {
-        table = withMoves(std::move(table), planJoins(table, servers(20), loads, {}, 8));
+        const auto joins = planJoins(table, servers(20), loads, {}, 8);
+        table = withMoves(std::move(table), joins);
         auto joined = OwnershipTable{};
         for (const auto &range : table.ranges) {
             if (!joined.ranges.empty() && joined.ranges.back().owner == range.owner) {
