--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/gateway/desired_state.h"
 #include "figlanding/gateway/fleet_records.h"
+#include "figlanding/gateway/key_loads.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/suspend_detector.h"
 #include "gateway/fleet_link.h"
@@ -14,7 +15,6 @@
 #include "io/random_bytes.h"
 
 #include <array>
-#include <cmath>
 #include <ctime>
 #include <memory>
 #include <random>
@@ -83,7 +83,7 @@
                .registry = [this]() -> const ServerRegistry & { return m_world.registry(); },
                .owner = [this](const auto &service,
                                auto key) { return m_world.ownerOf(service, key); },
-               .onKey = [this](const auto &service, auto key) { countKey(service, key); },
+               .onKey = [this](const auto &service, auto key) { m_keyLoads.count(service, key); },
                .fleetSize = [this] { return static_cast<double>(m_view.members().size()) + 1.0; },
                .onStaleOwner = [this] { m_fleetFollower.hurry(); },
                .onEnd = [this](const RequestRecord &record) { m_requestLog.add(record); }})
@@ -259,18 +259,6 @@
                        });
     }
 
-    auto countKey(const ServiceId &service, ShardKey key) -> void
-    {
-        m_keyCounts[{service, key}] += 1;
-    }
-
-    auto addLoad(const ServiceId &service, ShardKey key, std::uint32_t requests) -> void
-    {
-        auto &loads = m_loads[service];
-        loads.resize(shardKeyCount);
-        loads[key] += static_cast<float>(requests);
-    }
-
     auto onMessage(const FleetDelivery &delivery) -> void
     {
         const auto now = m_loop.now();
@@ -292,7 +280,7 @@
             return;
         }
         if (const auto *report = std::get_if<WorkReport>(&message.payload)) {
-            takeWork(*report);
+            m_keyLoads.add(*report);
             return;
         }
         if (const auto *update = std::get_if<TopicUpdate>(&message.payload)) {
@@ -318,16 +306,6 @@
                 {m_fleetFollower.topic(), m_fleetFollower.end()}};
     }
 
-    auto takeWork(const WorkReport &report) -> void
-    {
-        for (const auto &count : report.keys) {
-            addLoad(count.service, count.key, count.requests);
-        }
-        for (const auto &[server, time] : report.serviceTimes) {
-            m_serviceTimes[server] = time;
-        }
-    }
-
     auto sendHeartbeat() -> void
     {
         const auto now = m_loop.now();
@@ -349,12 +327,10 @@
 
     auto sendWork() -> void
     {
-        auto report = WorkReport{.serviceTimes = m_slots.serviceTimes()};
-        for (const auto &[key, requests] : std::exchange(m_keyCounts, {})) {
-            report.keys.push_back({.service = key.first, .key = key.second, .requests = requests});
-        }
+        const auto report =
+            WorkReport{.keys = m_keyLoads.takeCounts(), .serviceTimes = m_slots.serviceTimes()};
         if (m_world.ownership().claim.vm == m_settings.vm) {
-            takeWork(report);
+            m_keyLoads.add(report);
         } else {
             m_link->send(m_world.ownership().claim.vm, report);
         }
@@ -413,11 +389,13 @@
     {
         noticeSuspension();
         logQueue(m_loop.now());
-        decayLoads();
+        if (m_duty.active()) {
+            m_keyLoads.decay(m_loop.now());
+        }
         auto inputs = ControllerInputs{.registry = m_world.registry(),
                                        .keyedServices = {},
-                                       .loads = m_loads,
-                                       .serviceTimes = m_serviceTimes};
+                                       .loads = m_keyLoads.loads(),
+                                       .serviceTimes = m_keyLoads.serviceTimes()};
         if (m_world.state() && m_world.serversKnown()) {
             for (const auto &service : m_world.state()->state().services) {
                 if (service.keyed) {
@@ -428,25 +406,6 @@
         m_duty.tick(inputs);
     }
 
-    // Loads are averages over some seconds, so that planning follows hot keys but not noise.
-    auto decayLoads() -> void
-    {
-        constexpr auto window = seconds(2);
-        constexpr auto step = milliseconds(200);
-        const auto now = m_loop.now();
-        if (!m_duty.active() || now - m_decayedAt < step) {
-            return;
-        }
-        const auto elapsed = std::chrono::duration<float>(now - m_decayedAt);
-        const auto factor = std::exp(-elapsed / std::chrono::duration<float>(window));
-        m_decayedAt = now;
-        for (auto &[service, loads] : m_loads) {
-            for (auto &load : loads) {
-                load *= factor;
-            }
-        }
-    }
-
     auto checkLeaving(TimePoint now) -> void
     {
         const auto elapsed = now - m_leavingSince;
@@ -486,10 +445,7 @@
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_adminServer;
-    std::map<std::pair<ServiceId, ShardKey>, std::uint32_t> m_keyCounts; ///< since the last report
-    std::map<ServiceId, std::vector<float>> m_loads;
-    std::map<BackendServerId, milliseconds> m_serviceTimes;
-    TimePoint m_decayedAt;
+    KeyLoads m_keyLoads;
     TimePoint m_queueLoggedAt;
     bool m_announced = false;
     TimePoint m_announceAt;
--- a/tests/unit/key_rebalance_test.cpp
+++ b/tests/unit/key_rebalance_test.cpp
@@ -1,4 +1,5 @@
 #include "figlanding/gateway/key_controller.h"
+#include "figlanding/gateway/key_loads.h"
 
 #include <doctest/doctest.h>
 
@@ -83,6 +84,11 @@
         }
         return count;
     }
+    /// Returns the number of releases with a lower fence than a grant of the same keys had.
+    [[nodiscard]] auto lowReleases() const -> int
+    {
+        return m_lowReleases;
+    }
     [[nodiscard]] auto hangingReleases() const -> int
     {
         return m_hangingReleases;
@@ -93,6 +99,7 @@
     {
         BackendServerId owner;
         TimePoint at;
+        Fence fence = 0;
     };
 
     auto take(const AppendClaim &record) -> void
@@ -106,11 +113,16 @@
     }
     auto take(const GrantOrder &order) -> void
     {
-        m_renewals[order.keys] = {.owner = order.to.server, .at = m_now};
+        m_renewals[order.keys] = {.owner = order.to.server, .at = m_now, .fence = order.fence};
         m_controller.onGrant(order.id, OrderEnd::Accepted, m_now);
     }
     auto take(const ReleaseOrder &order) -> void
     {
+        for (const auto &[keys, renewal] : m_renewals) {
+            const auto overlaps = keys.from <= order.keys.to && order.keys.from <= keys.to;
+            const auto ownersOwn = renewal.owner == order.from.server;
+            m_lowReleases += overlaps && ownersOwn && renewal.fence > order.fence ? 1 : 0;
+        }
         if (order.from.server == m_hanging) {
             m_hangingReleases += 1;
             return;
@@ -126,6 +138,7 @@
     OwnershipTable m_table = unownedTable();
     BackendServerId m_hanging;
     int m_hangingReleases = 0;
+    int m_lowReleases = 0;
     std::map<KeyRange, Renewal> m_renewals; ///< the last one of each range
 };
 
@@ -191,4 +204,23 @@
     }
     fleet.run(seconds(12));
     CHECK(fleet.needlessRanges() == 0);
+    CHECK(fleet.lowReleases() == 0);
+}
+
+TEST_CASE("loads are the sums of what VMs counted, and decay")
+{
+    auto loads = KeyLoads();
+    loads.count(service, 7);
+    loads.count(service, 7);
+    const auto report =
+        WorkReport{.keys = loads.takeCounts(), .serviceTimes = {{serverName(1), milliseconds(90)}}};
+    CHECK(loads.takeCounts().empty());
+    const auto start = TimePoint{} + seconds(100);
+    loads.decay(start);
+    loads.add(report);
+    loads.add(report);
+    CHECK(loads.loads().at(service).at(7) == doctest::Approx(4.0));
+    CHECK(loads.serviceTimes().at(serverName(1)) == milliseconds(90));
+    loads.decay(start + seconds(2));
+    CHECK(loads.loads().at(service).at(7) == doctest::Approx(4.0 / 2.718).epsilon(0.01));
 }
