Split admission, retries and slot ends out of RequestPath

request_path.h had 543 lines and held four things at once: how a request is admitted, whether it may be tried again, how its end is reported to the broker of its slot, and its way from receipt to response. Only the last one needs the protocol as a template parameter.

RequestAdmission, RequestRetries and slotEndOf() are compiled sources now; ActiveRequest has a header of its own. Nothing in behaviour changes: the text of the functions is the same, canRetry() is RequestRetries::isRetryable() and gets the time as a parameter. request_path.h has 424 lines.

--- /dev/null
+++ b/src/gateway/request_admission.cpp
@@ -0,0 +1,66 @@
+#include "gateway/request_admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figlanding {
+
+RequestAdmission::RequestAdmission(const RequestAdmissionOptions &options, TeamLimits &limits,
+                                   StateQuery state)
+    : m_options(options)
+    , m_limits(limits)
+    , m_state(std::move(state))
+    , m_random(options.randomSeed)
+{ }
+
+auto RequestAdmission::admit(ActiveRequest &active) -> std::optional<Refusal>
+{
+    active.state = m_state();
+    if (!active.state) {
+        return Refusal{.reason = RefusalReason::ViewNotFresh,
+                       .detail = "no configuration yet",
+                       .retryAfter = milliseconds(300)};
+    }
+    const auto &request = active.exchange->request();
+    active.route = active.state->findRoute(active.caller.host, pathOf(request.target));
+    if (active.route == nullptr) {
+        return Refusal{.reason = RefusalReason::NoRoute,
+                       .detail = active.caller.host + " " + request.target};
+    }
+    const auto &route = *active.route;
+    active.record.route = route.id;
+    active.record.configVersion = active.state->state().version;
+    active.priority = route.priority;
+    const auto timeout = std::min(route.timeout, active.caller.deadline.value_or(route.timeout));
+    active.deadline = active.receivedAt + timeout - m_options.responseMargin;
+    active.objectiveAt =
+        active.receivedAt + route.latencyObjective - m_retryTime.timeSpent(route.id, active.caller);
+    active.service = pickService(route, m_uniform(m_random));
+    active.record.service = active.service;
+    return admitTeam(active);
+}
+
+auto RequestAdmission::admitTeam(ActiveRequest &active) -> std::optional<Refusal>
+{
+    if (active.route->open || !active.state->hasTeams()) {
+        return std::nullopt;
+    }
+    const auto *team = active.state->findTeam(active.caller.apiKey);
+    if (team == nullptr) {
+        const auto missing = active.caller.apiKey.empty();
+        return Refusal{.reason =
+                           missing ? RefusalReason::MissingTeamKey : RefusalReason::InvalidTeamKey};
+    }
+    active.team = team->id;
+    active.record.team = team->id;
+    active.priority = team->priority.value_or(active.priority);
+    const auto rate = TeamRate{.perSecond = team->ratePerSecond, .burst = team->burst};
+    if (!m_limits.admit(team->id, rate, active.receivedAt)) {
+        return Refusal{.reason = RefusalReason::RateLimited,
+                       .detail = "team " + team->id.value(),
+                       .retryAfter = m_limits.retryAfter(team->id, rate)};
+    }
+    return std::nullopt;
+}
+
+} // namespace figlanding
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -1,18 +1,15 @@
 #pragma once
 
 #include "figlanding/gateway/caller_protocol.h"
-#include "figlanding/gateway/desired_state.h"
-#include "figlanding/gateway/retry_time_estimator.h"
 #include "figlanding/gateway/server_registry.h"
-#include "figlanding/gateway/team_limits.h"
-#include "figlanding/random.h"
-#include "figlanding/retry_policy.h"
-#include "gateway/request_record.h"
+#include "gateway/active_request.h"
+#include "gateway/request_admission.h"
+#include "gateway/request_retries.h"
 #include "gateway/slot_client.h"
+#include "gateway/slot_end_of.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
 
-#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,8 +28,6 @@
     double retryReserve = 30.0; ///< retries that all VMs together may accumulate beyond the ratio
     milliseconds connectTimeout{300};
     milliseconds maxIdleAge{8000}; ///< servers close idle connections after about 10 s
-    /// Subtracted from the deadline, so that the response reaches the caller in time.
-    milliseconds responseMargin{10};
     milliseconds minTimeToSend{20}; ///< a request with less time left is not sent
     std::uint64_t randomSeed = 0;
 };
@@ -62,10 +57,12 @@
         : m_loop(loop)
         , m_client(client)
         , m_slots(slots)
-        , m_limits(limits)
         , m_options(options)
         , m_handlers(std::move(handlers))
-        , m_random(m_options.randomSeed)
+        , m_admission({.randomSeed = m_options.randomSeed}, limits, m_handlers.state)
+        , m_retries({.ratio = m_options.retryRatio,
+                     .reserve = m_options.retryReserve,
+                     .minTimeToSend = m_options.minTimeToSend})
     { }
     RequestPath(const RequestPath &) = delete;
     auto operator=(const RequestPath &) -> RequestPath & = delete;
@@ -82,13 +79,11 @@
         active.receivedAt = m_loop.now();
         active.deadline = active.receivedAt;
         active.exchange->onAbandoned([this, number] { abandon(number); });
-        if (auto refusal = admit(active)) {
+        if (auto refusal = m_admission.admit(active)) {
             refuse(number, std::move(*refusal));
             return;
         }
-        const auto reserve = m_options.retryReserve / m_handlers.fleetSize();
-        m_budgets.try_emplace(active.service, m_options.retryRatio, reserve)
-            .first->second.onRequest();
+        m_retries.onRequest(active.service, m_handlers.fleetSize());
         dispatch(number);
     }
 
@@ -142,87 +137,7 @@
     }
 
 private:
-    enum class Stage {
-        Idle, ///< waits until dispatchAt
-        AwaitingSlot, ///< waits for the decision on a slot
-        AwaitingResponse, ///< waits for the response of the server
-    };
-
-    struct ActiveRequest
-    {
-        std::unique_ptr<HttpExchange> exchange; ///< null once the caller has disconnected
-        CallerRequest caller;
-        std::shared_ptr<const DesiredStateIndex> state; ///< owns the object that route points to
-        const DesiredRoute *route = nullptr;
-        RequestRecord record;
-        TeamId team;
-        std::uint32_t priority = 0;
-        ServiceId service;
-        Stage stage = Stage::Idle;
-        TimePoint receivedAt;
-        TimePoint objectiveAt;
-        TimePoint deadline;
-        TimePoint dispatchAt;
-        TimePoint sentAt;
-        /// Number of sends to servers, without those that the HTTP client reports as not run.
-        std::uint32_t attempts = 0;
-        Verdict verdict = Verdict::NotRun;
-        std::vector<BackendServerId> excluded;
-        ServerIncarnation server;
-        HttpClient::CallId call = 0;
-    };
-
-    // Determines route, team and service. Returns a refusal if the request is not admitted.
-    auto admit(ActiveRequest &active) -> std::optional<Refusal>
-    {
-        active.state = m_handlers.state();
-        if (!active.state) {
-            return Refusal{.reason = RefusalReason::ViewNotFresh,
-                           .detail = "no configuration yet",
-                           .retryAfter = milliseconds(300)};
-        }
-        const auto &request = active.exchange->request();
-        active.route = active.state->findRoute(active.caller.host, pathOf(request.target));
-        if (active.route == nullptr) {
-            return Refusal{.reason = RefusalReason::NoRoute,
-                           .detail = active.caller.host + " " + request.target};
-        }
-        const auto &route = *active.route;
-        active.record.route = route.id;
-        active.record.configVersion = active.state->state().version;
-        active.priority = route.priority;
-        const auto timeout =
-            std::min(route.timeout, active.caller.deadline.value_or(route.timeout));
-        active.deadline = active.receivedAt + timeout - m_options.responseMargin;
-        active.objectiveAt = active.receivedAt + route.latencyObjective
-            - m_retryTime.timeSpent(route.id, active.caller);
-        active.service = pickService(route, m_uniform(m_random));
-        active.record.service = active.service;
-        return admitTeam(active);
-    }
-
-    auto admitTeam(ActiveRequest &active) -> std::optional<Refusal>
-    {
-        if (active.route->open || !active.state->hasTeams()) {
-            return std::nullopt;
-        }
-        const auto *team = active.state->findTeam(active.caller.apiKey);
-        if (team == nullptr) {
-            const auto missing = active.caller.apiKey.empty();
-            return Refusal{.reason = missing ? RefusalReason::MissingTeamKey
-                                             : RefusalReason::InvalidTeamKey};
-        }
-        active.team = team->id;
-        active.record.team = team->id;
-        active.priority = team->priority.value_or(active.priority);
-        const auto rate = TeamRate{.perSecond = team->ratePerSecond, .burst = team->burst};
-        if (!m_limits.admit(team->id, rate, active.receivedAt)) {
-            return Refusal{.reason = RefusalReason::RateLimited,
-                           .detail = "team " + team->id.value(),
-                           .retryAfter = m_limits.retryAfter(team->id, rate)};
-        }
-        return std::nullopt;
-    }
+    using Stage = RequestStage;
 
     // Requests a slot, for a keyed service one of the owner of the key. Waits if the key has no
     // owner.
@@ -231,8 +146,7 @@
         auto &active = m_requests.at(number);
         const auto now = m_loop.now();
         auto owner = ServerIncarnation{};
-        const auto *service = active.state->findService(active.service);
-        if (service != nullptr && service->keyed) {
+        if (hasKeyedService(active)) {
             if (!active.caller.key) {
                 refuse(number,
                        {.reason = RefusalReason::MalformedRequest,
@@ -355,56 +269,26 @@
         }
     }
 
-    // Classifies the end of a request that got no complete response.
-    [[nodiscard]] static auto slotEndOf(const HttpOutcome &outcome) -> SlotEnd
-    {
-        if (outcome.verdict == Verdict::NotRun) {
-            return SlotEnd::Unreachable;
-        }
-        return outcome.error.code == ErrorCode::Timeout ? SlotEnd::TimedOut : SlotEnd::Lost;
-    }
-
-    [[nodiscard]] static auto slotEndOf(ResponseKind kind) -> SlotEnd
-    {
-        switch (kind) {
-        case ResponseKind::Success:
-            return SlotEnd::Served;
-        case ResponseKind::Failure:
-        case ResponseKind::Foreign:
-            return SlotEnd::Failed;
-        default:
-            return SlotEnd::Declined;
-        }
-    }
-
     // Retries a server error if the request is idempotent; otherwise returns it to the caller.
     auto onServerFailure(std::uint64_t number, HttpResponse response) -> void
     {
         auto &active = m_requests.at(number);
         active.verdict = Verdict::Ran;
         constexpr auto firstServerError = 500;
-        if (response.status >= firstServerError && canRetry(active, Verdict::Ran)) {
+        if (response.status >= firstServerError
+            && m_retries.isRetryable(active, Verdict::Ran, m_loop.now())) {
             retry(active);
             return;
         }
         respond(number, std::move(response));
     }
 
-    [[nodiscard]] auto canRetry(const ActiveRequest &active, Verdict verdict) const -> bool
-    {
-        const auto repeatable =
-            verdict == Verdict::NotRun || active.route->repeatability == Repeatability::Idempotent;
-        return repeatable && active.exchange && active.attempts < active.route->maxAttempts
-            && m_loop.now() + m_options.minTimeToSend < active.deadline;
-    }
-
     // Schedules a retry: without a key at once and at another server, with a key at the owner after
     // a delay.
     auto retry(ActiveRequest &active) -> void
     {
         const auto now = m_loop.now();
-        const auto *service = active.state->findService(active.service);
-        if (service != nullptr && service->keyed) {
+        if (hasKeyedService(active)) {
             dispatchLater(active, now);
             return;
         }
@@ -418,8 +302,8 @@
     {
         auto &active = m_requests.at(number);
         active.verdict = combine(active.verdict, verdict);
-        auto &budget = m_budgets.at(active.service);
-        if (canRetry(active, verdict) && budget.take()) {
+        if (m_retries.isRetryable(active, verdict, m_loop.now())
+            && m_retries.take(active.service)) {
             retry(active);
             return;
         }
@@ -529,13 +413,10 @@
     EventLoop &m_loop;
     HttpClient &m_client;
     SlotClient &m_slots;
-    TeamLimits &m_limits;
     RequestPathOptions m_options;
     RequestPathHandlers m_handlers;
-    RandomEngine m_random;
-    std::uniform_real_distribution<double> m_uniform{0.0, 1.0};
-    RetryTimeEstimator m_retryTime;
-    std::map<ServiceId, RetryBudget> m_budgets;
+    RequestAdmission m_admission;
+    RequestRetries m_retries;
     std::map<std::uint64_t, ActiveRequest> m_requests;
     std::uint64_t m_nextNumber = 1;
 };
--- /dev/null
+++ b/src/gateway/request_retries.cpp
@@ -0,0 +1,29 @@
+#include "gateway/request_retries.h"
+
+namespace figlanding {
+
+RequestRetries::RequestRetries(const RequestRetriesOptions &options)
+    : m_options(options)
+{ }
+
+auto RequestRetries::onRequest(const ServiceId &service, double fleetSize) -> void
+{
+    const auto reserve = m_options.reserve / fleetSize;
+    m_budgets.try_emplace(service, m_options.ratio, reserve).first->second.onRequest();
+}
+
+auto RequestRetries::isRetryable(const ActiveRequest &active, Verdict verdict, TimePoint now) const
+    -> bool
+{
+    const auto repeatable =
+        verdict == Verdict::NotRun || active.route->repeatability == Repeatability::Idempotent;
+    return repeatable && active.exchange && active.attempts < active.route->maxAttempts
+        && now + m_options.minTimeToSend < active.deadline;
+}
+
+auto RequestRetries::take(const ServiceId &service) -> bool
+{
+    return m_budgets.at(service).take();
+}
+
+} // namespace figlanding
--- /dev/null
+++ b/src/gateway/request_retries.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "figlanding/names.h"
+#include "figlanding/retry_policy.h"
+#include "figlanding/verdict.h"
+#include "gateway/active_request.h"
+
+#include <map>
+
+/// @file
+/// Decides whether a failed attempt of a request may be followed by another one.
+
+namespace figlanding {
+
+/// Settings of RequestRetries.
+struct RequestRetriesOptions
+{
+    double ratio = 0.15; ///< retries allowed per request of this VM
+    double reserve = 30.0; ///< retries that all VMs together may accumulate beyond the ratio
+    milliseconds minTimeToSend{20}; ///< a request with less time left is not sent
+
+    auto operator==(const RequestRetriesOptions &) const -> bool = default;
+};
+
+/// The retry budgets of this VM, one for each service.
+class RequestRetries
+{
+public:
+    explicit RequestRetries(const RequestRetriesOptions &options);
+
+    /// Credits the budget of a service for a new request.
+    /// @param fleetSize number of VMs, at least 1; they share the reserve
+    auto onRequest(const ServiceId &service, double fleetSize) -> void;
+    /// Returns whether route, caller and deadline allow another attempt.
+    /// @param verdict of the last attempt
+    [[nodiscard]] auto isRetryable(const ActiveRequest &active, Verdict verdict,
+                                   TimePoint now) const -> bool;
+    /// Withdraws a retry from the budget of a service.
+    /// @return false, without a withdrawal, if the budget is exhausted
+    [[nodiscard]] auto take(const ServiceId &service) -> bool;
+
+private:
+    RequestRetriesOptions m_options;
+    std::map<ServiceId, RetryBudget> m_budgets;
+};
+
+} // namespace figlanding
--- /dev/null
+++ b/src/gateway/slot_end_of.cpp
@@ -0,0 +1,26 @@
+#include "gateway/slot_end_of.h"
+
+namespace figlanding {
+
+auto slotEndOf(const HttpOutcome &outcome) -> SlotEnd
+{
+    if (outcome.verdict == Verdict::NotRun) {
+        return SlotEnd::Unreachable;
+    }
+    return outcome.error.code == ErrorCode::Timeout ? SlotEnd::TimedOut : SlotEnd::Lost;
+}
+
+auto slotEndOf(ResponseKind kind) -> SlotEnd
+{
+    switch (kind) {
+    case ResponseKind::Success:
+        return SlotEnd::Served;
+    case ResponseKind::Failure:
+    case ResponseKind::Foreign:
+        return SlotEnd::Failed;
+    default:
+        return SlotEnd::Declined;
+    }
+}
+
+} // namespace figlanding
