Refund the token of a team whose request did not run

Cause: admission takes a token of the team before a slot is known. A request that is then refused for lack of a slot, or declined by its server, has used the token although it did not run; its caller comes back and uses the next one. The requests that ran were far below the rate. Change: RequestAdmission::onEnd() returns the token when the verdict is not-run. Reports of a VM count net admissions, so the difference of two reports may be negative. A caller that leaves after its request was sent is recorded as may-have-run.

--- a/include/figlanding/gateway/team_limits.h
+++ b/include/figlanding/gateway/team_limits.h
@@ -19,6 +19,9 @@
 /// admits only its share of the rate, in proportion to its share of the demand; otherwise every VM
 /// would spend the same remaining tokens. Requests admitted in excess make the level negative, and
 /// later requests wait until it is refilled.
+///
+/// Only requests that run count against a rate. A caller whose request is refused for another
+/// reason comes back, and each return would cost its team another token otherwise.
 
 namespace figlanding {
 
@@ -34,7 +37,8 @@
 /// One VM's report on a team.
 struct TeamUsage
 {
-    std::uint64_t admitted = 0; ///< requests since the start of the VM's process
+    /// Requests since the start of the VM's process, without those that did not run.
+    std::uint64_t admitted = 0;
     double demand = 0.0; ///< requests per second, admitted or refused
     double admittedRate = 0.0; ///< admitted requests per second
 
@@ -66,6 +70,9 @@
     /// Counts a request of a team.
     /// @return whether the request is within the team's rate
     [[nodiscard]] auto admit(const TeamId &team, const TeamRate &rate, TimePoint now) -> bool;
+    /// Returns the token of an admitted request that did not run. The team must have been passed to
+    /// admit() before.
+    auto refund(const TeamId &team) -> void;
     /// Processes another VM's report.
     /// @param incarnation of the VM's process; the counters restart with it
     auto report(const VmId &vm, const std::string &incarnation,
@@ -84,6 +91,7 @@
     struct Bucket
     {
         double level = 0.0;
+        double capacity = 0.0; ///< largest level
         /// Tokens of this VM's share, used when the bucket is nearly empty.
         double shareLevel = 0.0;
         TeamUsage use;
--- a/src/core/gateway/team_limits.cpp
+++ b/src/core/gateway/team_limits.cpp
@@ -31,6 +31,7 @@
     bucket.use.demand *= decay;
     bucket.use.admittedRate *= decay;
     bucket.updatedAt = now;
+    bucket.capacity = capacity;
     bucket.level = std::min(capacity, bucket.level + elapsed * rate.perSecond);
     const auto part = demandShare(bucket, team, rate, now);
     bucket.shareLevel = std::min(std::max(1.0, capacity * m_options.freeAdmissionFraction * part),
@@ -86,6 +87,16 @@
     return true;
 }
 
+auto TeamLimits::refund(const TeamId &team) -> void
+{
+    auto &bucket = m_buckets.at(team);
+    bucket.level = std::min(bucket.capacity, bucket.level + 1.0);
+    bucket.shareLevel += 1.0; // refreshBucket() limits it
+    bucket.use.admitted -= 1;
+    bucket.use.admittedRate =
+        std::max(0.0, bucket.use.admittedRate - 1.0 / toSeconds(m_options.window));
+}
+
 auto TeamLimits::report(const VmId &vm, const std::string &incarnation,
                         const std::map<TeamId, TeamUsage> &usageByTeam, TimePoint now) -> void
 {
@@ -97,9 +108,11 @@
         const auto bucket = m_buckets.find(team);
         // The first report of a run only sets the baseline: its counter includes requests from
         // before this VM knew of the run.
-        const auto counts = sameRun && use.admitted > before;
-        if (counts && bucket != m_buckets.end()) {
-            bucket->second.level -= static_cast<double>(use.admitted - before);
+        if (sameRun && bucket != m_buckets.end()) {
+            // Negative after refunds.
+            const auto more = static_cast<std::int64_t>(use.admitted - before);
+            auto &level = bucket->second.level;
+            level = std::min(bucket->second.capacity, level - static_cast<double>(more));
         }
     }
     if (!sameRun) {
--- a/src/gateway/active_request.h
+++ b/src/gateway/active_request.h
@@ -31,6 +31,7 @@
     const DesiredRoute *route = nullptr;
     RequestRecord record;
     TeamId team;
+    bool usesTeamRate = false; ///< holds a token of its team, which is refunded if it does not run
     std::uint32_t priority = 0;
     ServiceId service;
     RequestStage stage = RequestStage::Idle;
--- a/src/gateway/request_admission.cpp
+++ b/src/gateway/request_admission.cpp
@@ -60,7 +60,15 @@
                        .detail = "team " + team->id.value(),
                        .retryAfter = m_limits.retryAfter(team->id, rate)};
     }
+    active.usesTeamRate = rate.perSecond > 0.0;
     return std::nullopt;
 }
 
+auto RequestAdmission::onEnd(const ActiveRequest &active) -> void
+{
+    if (active.usesTeamRate && active.record.verdict == Verdict::NotRun) {
+        m_limits.refund(active.team);
+    }
+}
+
 } // namespace figlanding
--- a/src/gateway/request_admission.h
+++ b/src/gateway/request_admission.h
@@ -41,6 +41,9 @@
     /// Fills in the fields of @p active that follow from its caller and the configuration.
     /// @return the refusal if the request is not admitted
     [[nodiscard]] auto admit(ActiveRequest &active) -> std::optional<Refusal>;
+    /// Processes the end of a request, whose verdict its record holds. A request that did not run
+    /// does not count against the rate of its team.
+    auto onEnd(const ActiveRequest &active) -> void;
 
 private:
     [[nodiscard]] auto admitTeam(ActiveRequest &active) -> std::optional<Refusal>;
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -381,6 +381,7 @@
     auto recordEnd(ActiveRequest &active) -> void
     {
         active.record.elapsed = m_loop.now() - active.receivedAt;
+        m_admission.onEnd(active);
         m_handlers.onEnd(active.record);
     }
 
@@ -406,6 +407,8 @@
                             now);
         }
         active.record.detail = "caller left";
+        active.record.verdict =
+            combine(active.verdict, sent ? Verdict::MayHaveRun : Verdict::NotRun);
         recordEnd(active);
         m_requests.erase(found);
     }
--- a/tests/unit/team_limits_test.cpp
+++ b/tests/unit/team_limits_test.cpp
@@ -20,8 +20,9 @@
 class Fleet
 {
 public:
-    Fleet(std::size_t vms, std::uint64_t seed)
+    Fleet(std::size_t vms, std::uint64_t seed, milliseconds reportInterval = milliseconds(250))
         : m_random(seed)
+        , m_reportInterval(reportInterval)
     {
         for (std::size_t i = 0; i < vms; ++i) {
             m_vms.push_back(std::make_unique<TeamLimits>(TeamLimitOptions{}));
@@ -29,7 +30,14 @@
         }
     }
 
-    // Simulates Poisson arrivals for a duration and returns the times of admitted requests.
+    // Of the admitted requests, this fraction is refused by a full queue, and has not run.
+    auto setNotRunFraction(double fraction) -> void
+    {
+        m_notRunFraction = fraction;
+    }
+
+    // Simulates Poisson arrivals for a duration and returns the times of admitted requests that
+    // run.
     auto simulate(double perSecond, const TeamRate &rate, milliseconds span)
         -> std::vector<TimePoint>
     {
@@ -42,10 +50,15 @@
             if (m_now >= m_reportAt) {
                 report();
             }
+            refundDue();
             while (next <= m_now) {
                 auto &vm = *m_vms.at(m_random() % m_vms.size());
                 m_requestCount += 1;
-                if (vm.admit(team, rate, m_now)) {
+                const auto accepted = vm.admit(team, rate, m_now);
+                m_limitedCount += accepted ? 0 : 1;
+                if (accepted && m_uniform(m_random) < m_notRunFraction) {
+                    m_refunds.push_back({.vm = &vm, .at = m_now + milliseconds(200)});
+                } else if (accepted) {
                     admitted.push_back(m_now);
                 }
                 next += std::chrono::duration_cast<Duration>(
@@ -59,10 +72,30 @@
         return m_requestCount;
     }
 
+    // Returns the number of requests that the limit refused.
+    [[nodiscard]] auto limitedCount() const -> std::size_t
+    {
+        return m_limitedCount;
+    }
+
 private:
+    struct Refund
+    {
+        TeamLimits *vm;
+        TimePoint at;
+    };
+
+    auto refundDue() -> void
+    {
+        while (!m_refunds.empty() && m_refunds.front().at <= m_now) {
+            m_refunds.front().vm->refund(team);
+            m_refunds.pop_front();
+        }
+    }
+
     auto report() -> void
     {
-        m_reportAt = m_now + milliseconds(250);
+        m_reportAt = m_now + m_reportInterval;
         for (std::size_t from = 0; from < m_vms.size(); ++from) {
             const auto usageByTeam = m_vms[from]->takeUsage(m_now);
             for (std::size_t to = 0; to < m_vms.size(); ++to) {
@@ -75,6 +108,11 @@
     }
 
     std::mt19937_64 m_random;
+    milliseconds m_reportInterval;
+    std::uniform_real_distribution<double> m_uniform{0.0, 1.0};
+    double m_notRunFraction = 0.0;
+    std::size_t m_limitedCount = 0;
+    std::deque<Refund> m_refunds;
     std::vector<std::unique_ptr<TeamLimits>> m_vms;
     TimePoint m_now = start;
     TimePoint m_reportAt = start;
@@ -131,6 +169,33 @@
     }
 }
 
+TEST_CASE("requests that are refused before they run do not use up the rate of their team")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto fleet = Fleet(10, seed);
+        fleet.setNotRunFraction(0.6);
+        const auto rate = TeamRate{.perSecond = 35, .burst = 35};
+        const auto ran = fleet.simulate(2 * 35 / 1.6, rate, seconds(30));
+        CAPTURE(seed);
+        CHECK(static_cast<double>(fleet.limitedCount())
+              < 0.03 * static_cast<double>(fleet.requestCount()));
+        CHECK(static_cast<double>(maxInWindow(ran)) < windowLimit(rate));
+    }
+}
+
+TEST_CASE("a team that sends several times its rate stays within it when many requests do not run")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto fleet = Fleet(10, seed);
+        fleet.setNotRunFraction(0.6);
+        const auto rate = TeamRate{.perSecond = 35, .burst = 35};
+        const auto ran = fleet.simulate(35 * 7.5, rate, seconds(30));
+        CAPTURE(seed);
+        CHECK(static_cast<double>(maxInWindow(ran)) < windowLimit(rate));
+        CHECK(static_cast<double>(ran.size()) > 0.9 * 35 * 30);
+    }
+}
+
 TEST_CASE("a lowered rate takes effect within one window")
 {
     auto fleet = Fleet(10, 3);
