--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -96,6 +96,7 @@
             onPeerEnd(update.next);
             return;
         }
+        m_needsSnapshot = false;
         m_schedule.onRelayReceived(m_loop.now() - update.age);
         if (m_timer.active()) {
             scheduleRead(m_options.pause);
@@ -132,7 +133,7 @@
         const auto sentAt = m_loop.now();
         const auto number = ++m_readNumber;
         m_sentAt = sentAt;
-        if (!m_hasSnapshot) {
+        if (m_needsSnapshot) {
             m_store.readNewest(m_options.topic,
                                [this, sentAt, number](const Settled<KeyedSnapshot> &snapshot) {
                                    if (number == m_readNumber) {
@@ -249,9 +250,13 @@
             return;
         }
         m_consecutiveFailures = 0;
-        m_hasSnapshot = true;
-        m_nextOffset = snapshot.value().end;
-        m_handlers.onSnapshot(snapshot.value().records);
+        m_needsSnapshot = false;
+        // Records that were relayed meanwhile may be newer than the snapshot.
+        if (!m_hasSnapshot || snapshot.value().end >= m_nextOffset) {
+            m_hasSnapshot = true;
+            m_nextOffset = snapshot.value().end;
+            m_handlers.onSnapshot(snapshot.value().records);
+        }
         m_handlers.onRead(sentAt, m_nextOffset);
         m_timer.startOnce(m_options.pause);
     }
@@ -259,15 +264,11 @@
     auto onPage(TimePoint sentAt, const Settled<KeyedPage> &page) -> void
     {
         if (!page) {
-            // After a gap or a timeout, starts over from the snapshot: over a slow link a long
-            // backlog may not arrive in time, while the newest record of each key does.
-            const auto code = page.error().code;
-            m_hasSnapshot =
-                m_hasSnapshot && code != ErrorCode::OffsetGap && code != ErrorCode::Timeout;
-            onFailure(page.error());
+            onFailedPage(page.error());
             return;
         }
         m_consecutiveFailures = 0;
+        m_hadGap = false;
         // Upper bound of the age of the data: a long poll that ran its full wait is only as old as
         // the network delay.
         const auto elapsed =
@@ -288,6 +289,23 @@
         scheduleRead(std::max<Duration>(Duration::zero(), pause));
     }
 
+    // After a gap or a timeout, the next read is one of the snapshot: over a slow link a long
+    // backlog may not arrive in time, while the newest record of each key does. Relayed records are
+    // still applied until then.
+    auto onFailedPage(const Error &error) -> void
+    {
+        const auto gap = error.code == ErrorCode::OffsetGap;
+        m_needsSnapshot = m_needsSnapshot || gap || error.code == ErrorCode::Timeout;
+        if (!gap || std::exchange(m_hadGap, true)) {
+            onFailure(error);
+            return;
+        }
+        // The store is available, so there is nothing to wait for.
+        m_handlers.onFailure(error);
+        m_consecutiveFailures = 0;
+        m_timer.startOnce(Duration::zero());
+    }
+
     auto onFailure(const Error &error) -> void
     {
         m_consecutiveFailures += 1;
@@ -303,7 +321,9 @@
     Timer m_timer;
     Timer m_catchUpTimer;
     LogOffset m_peerEnd = 0; ///< highest end offset that another VM reported
-    bool m_hasSnapshot = false;
+    bool m_hasSnapshot = false; ///< a snapshot was read at least once
+    bool m_needsSnapshot = true; ///< the next read is one of the snapshot
+    bool m_hadGap = false; ///< since the last page that was read
     std::uint32_t m_consecutiveFailures = 0; ///< failed reads in a row
     std::uint64_t m_readNumber = 0; ///< of the last read; responses to earlier reads are ignored
     TimePoint m_sentAt; ///< when the last read was sent
--- /dev/null
+++ b/tests/contract/topic_follower_test.cpp
@@ -0,0 +1,166 @@
+#include "gateway/topic_follower.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace figlanding;
+
+namespace {
+
+// A store whose responses the test chooses. Records the time of each read.
+class ScriptedStore
+{
+public:
+    explicit ScriptedStore(EventLoop &loop)
+        : m_loop(loop)
+    { }
+
+    auto read(const ReadRequest &, std::function<void(Settled<KeyedPage>)> callback) -> void
+    {
+        m_reads.push_back(m_loop.now());
+        m_page = std::move(callback);
+    }
+    auto readNewest(const std::string &, std::function<void(Settled<KeyedSnapshot>)> callback)
+        -> void
+    {
+        m_snapshotReads.push_back(m_loop.now());
+        m_snapshot = std::move(callback);
+    }
+    auto append(const AppendRequest &, const std::function<void(Settled<LogOffset>)> &) -> void
+    { }
+    auto joinGroup(const GroupRequest &, const std::function<void(Settled<bool>)> &) -> void
+    { }
+    auto leaveGroup(const GroupRequest &) -> void
+    { }
+
+    auto respond(Settled<KeyedPage> page) -> void
+    {
+        std::exchange(m_page, nullptr)(std::move(page));
+    }
+    auto respond(Settled<KeyedSnapshot> snapshot) -> void
+    {
+        std::exchange(m_snapshot, nullptr)(std::move(snapshot));
+    }
+    [[nodiscard]] auto awaitsPage() const -> bool
+    {
+        return m_page != nullptr;
+    }
+    [[nodiscard]] auto awaitsSnapshot() const -> bool
+    {
+        return m_snapshot != nullptr;
+    }
+    [[nodiscard]] auto snapshotReads() const -> std::size_t
+    {
+        return m_snapshotReads.size();
+    }
+
+private:
+    EventLoop &m_loop;
+    std::vector<TimePoint> m_reads;
+    std::vector<TimePoint> m_snapshotReads;
+    std::function<void(Settled<KeyedPage>)> m_page;
+    std::function<void(Settled<KeyedSnapshot>)> m_snapshot;
+};
+
+// A follower of rank @ref rank with its store.
+struct Following
+{
+    EventLoop loop;
+    ScriptedStore store{loop};
+    std::vector<std::string> applied;
+    int snapshots = 0;
+    std::size_t rank = 0;
+    TopicFollower<ScriptedStore> follower{
+        loop,
+        store,
+        {.topic = "t", .wait = milliseconds(200), .pause = milliseconds(0)},
+        {.onSnapshot = [this](const auto &) { ++snapshots; },
+         .onRecord =
+             [this](const KeyedRecord &record) {
+                 applied.push_back(record.key);
+                 return true;
+             },
+         .onRead = [](TimePoint, LogOffset) {},
+         .onFailure = [](const Error &) {},
+         .relay = [](const TopicUpdate &) {},
+         .rank = [this](const std::string &) { return rank; }}};
+
+    // Runs the loop until a condition holds, or for at most @p limit.
+    auto runUntil(const std::function<bool()> &condition, milliseconds limit) -> bool
+    {
+        const auto end = loop.now() + limit;
+        auto timer = Timer(loop, [&] {
+            if (condition() || loop.now() >= end) {
+                loop.stop();
+            }
+        });
+        timer.startRepeating(milliseconds(1));
+        loop.run();
+        return condition();
+    }
+    auto fail(ErrorCode code) -> void
+    {
+        if (store.awaitsPage()) {
+            store.respond(Settled<KeyedPage>(Error{code, ""}));
+        } else {
+            store.respond(Settled<KeyedSnapshot>(Error{code, ""}));
+        }
+    }
+    // Reads the first snapshot, then fails the given number of reads.
+    auto startAndFail(int failures) -> void
+    {
+        follower.start();
+        store.respond(Settled<KeyedSnapshot>(KeyedSnapshot{.end = 10}));
+        for (auto i = 0; i < failures; ++i) {
+            REQUIRE(runUntil([&] { return store.awaitsPage() || store.awaitsSnapshot(); },
+                             milliseconds(3000)));
+            fail(ErrorCode::LogUnavailable);
+        }
+        REQUIRE(runUntil([&] { return store.awaitsPage(); }, milliseconds(3000)));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a VM that the store tells of a gap reads the snapshot at once, also after failed reads")
+{
+    auto following = Following{};
+    following.startAndFail(3);
+    following.fail(ErrorCode::OffsetGap);
+    CHECK(following.runUntil([&] { return following.store.awaitsSnapshot(); }, milliseconds(100)));
+    CHECK(following.store.snapshotReads() == 2);
+}
+
+TEST_CASE("a VM whose read timed out still applies relayed records until it has read a snapshot")
+{
+    auto following = Following{};
+    following.rank = 3;
+    following.startAndFail(1);
+    following.fail(ErrorCode::Timeout);
+    following.follower.onRelayReceived({.topic = "t",
+                                        .from = 10,
+                                        .next = 11,
+                                        .records = {{.offset = 10, .key = "new", .value = "v"}}});
+    CHECK(following.applied == std::vector<std::string>{"new"});
+}
+
+TEST_CASE("a snapshot older than records that were relayed since does not undo them")
+{
+    auto following = Following{};
+    following.rank = 3;
+    following.startAndFail(1);
+    following.fail(ErrorCode::Timeout);
+    REQUIRE(
+        following.runUntil([&] { return following.store.awaitsSnapshot(); }, milliseconds(5000)));
+    following.follower.onRelayReceived({.topic = "t",
+                                        .from = 10,
+                                        .next = 12,
+                                        .records = {{.offset = 11, .key = "new", .value = "v"}}});
+    following.store.respond(Settled<KeyedSnapshot>(KeyedSnapshot{.end = 11}));
+    CHECK(following.follower.end() == 12);
+    CHECK(following.snapshots == 1);
+}
