Log and count slot messages that name a ticket of another request

What callers saw: requests ran at servers of a service to which no configuration sends them. The logs could not tell why: no line named the process to which a ticket belongs.

A VM now logs "ticket-conflict" when an acquire meets a ticket that it knows from another process or for another service or owner, when a release comes from another process than the acquire, and when a response to another process is taken. For the last case a response carries the process that requested the slot (VMs of earlier releases omit it). The request path logs "server-of-other-service" with its process when the granted server runs another service than the request's. figlanding_slot_mismatches_total counts both. No decision depends on any of it.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -73,6 +73,7 @@
 struct SlotResponse
 {
     std::uint64_t ticket = 0;
+    std::string process; ///< incarnation of the process that requested the slot
     SlotState state = SlotState::Queued;
     ServerIncarnation server; ///< valid if granted
     milliseconds retryAfter{}; ///< valid if refused
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -48,6 +49,7 @@
 struct SlotRequest
 {
     TicketId id;
+    std::string process; ///< incarnation of the requesting VM's process
     ServiceId service;
     BackendServerId owner; ///< the only server that may run it; empty: any server of the service
     std::vector<BackendServerId> excluded; ///< servers on which an earlier attempt failed
@@ -80,9 +82,21 @@
 struct SlotDecision
 {
     TicketId id;
+    std::string process; ///< that requested the slot
     std::variant<SlotGrant, SlotRefusal> outcome;
 };
 
+/// A ticket that waits for a slot or holds one.
+struct KnownTicket
+{
+    std::string process; ///< incarnation of the process that requested it
+    ServiceId service;
+    BackendServerId owner; ///< empty: any server of the service
+    bool granted = false;
+
+    auto operator==(const KnownTicket &) const -> bool = default;
+};
+
 /// How a request that held a slot ended.
 enum class SlotEnd {
     Served, ///< complete response
@@ -158,6 +172,8 @@
     /// Returns the decisions since the last call and clears them.
     [[nodiscard]] auto takeDecisions() -> std::vector<SlotDecision>;
 
+    /// Returns a ticket, or nothing if it neither waits nor holds a slot.
+    [[nodiscard]] auto find(const TicketId &id) const -> std::optional<KnownTicket>;
     /// Returns whether a ticket waits for a slot.
     [[nodiscard]] auto isWaiting(const TicketId &id) const -> bool;
     /// Returns the number of queued requests.
@@ -202,7 +218,9 @@
     };
     struct ActiveGrant
     {
+        std::string process;
         ServiceId service;
+        BackendServerId owner;
         ServerIncarnation incarnation;
         AvailabilityZoneId zone; ///< of the VM that holds the slot
         TimePoint expiresAt;
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -80,9 +80,13 @@
 
 auto toJson(const SlotResponse &message) -> json
 {
-    return {static_cast<int>(Kind::Response), message.ticket,
-            static_cast<int>(message.state),  message.server.server.value(),
-            message.server.startedUnixMs,     message.retryAfter.count()};
+    return {static_cast<int>(Kind::Response),
+            message.ticket,
+            static_cast<int>(message.state),
+            message.server.server.value(),
+            message.server.startedUnixMs,
+            message.retryAfter.count(),
+            message.process};
 }
 
 auto toJson(const SlotRelease &message) -> json
@@ -166,6 +170,8 @@
 auto decodeResponse(const json &fields) -> SlotResponse
 {
     return {.ticket = fields.at(1).get<std::uint64_t>(),
+            // VMs of earlier releases omit it.
+            .process = fields.size() > 6 ? fields.at(6).get<std::string>() : std::string{},
             .state = static_cast<SlotState>(fields.at(2).get<int>()),
             .server = {.server = BackendServerId(fields.at(3).get<std::string>()),
                        .startedUnixMs = fields.at(4).get<std::int64_t>()},
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -52,8 +52,9 @@
 auto SlotBroker::acquire(const SlotRequest &request, TimePoint now) -> void
 {
     if (const auto granted = m_activeGrants.find(request.id); granted != m_activeGrants.end()) {
-        m_decisions.push_back(
-            {.id = request.id, .outcome = SlotGrant{granted->second.incarnation}});
+        m_decisions.push_back({.id = request.id,
+                               .process = granted->second.process,
+                               .outcome = SlotGrant{granted->second.incarnation}});
         return;
     }
     if (isWaiting(request.id)) {
@@ -381,11 +382,15 @@
         failures.probes += zone == request.zone ? 1 : 0;
     }
     server.grants.push_back(now);
-    m_activeGrants[request.id] = {.service = request.service,
+    m_activeGrants[request.id] = {.process = request.process,
+                                  .service = request.service,
+                                  .owner = request.owner,
                                   .incarnation = server.info.incarnation,
                                   .zone = request.zone,
                                   .expiresAt = request.deadline + m_options.ticketGrace};
-    m_decisions.push_back({.id = request.id, .outcome = SlotGrant{server.info.incarnation}});
+    m_decisions.push_back({.id = request.id,
+                           .process = request.process,
+                           .outcome = SlotGrant{server.info.incarnation}});
 }
 
 auto SlotBroker::refuse(const SlotRequest &request, Duration retryAfter) -> void
@@ -395,6 +400,7 @@
     const auto base = std::max<Duration>(retryAfter, minRetryAfter);
     m_decisions.push_back(
         {.id = request.id,
+         .process = request.process,
          .outcome = SlotRefusal{fromMilliseconds(toMilliseconds(base) * spread(m_random))}});
 }
 
@@ -461,6 +467,28 @@
     });
 }
 
+auto SlotBroker::find(const TicketId &id) const -> std::optional<KnownTicket>
+{
+    if (const auto granted = m_activeGrants.find(id); granted != m_activeGrants.end()) {
+        const auto &grant = granted->second;
+        return KnownTicket{.process = grant.process,
+                           .service = grant.service,
+                           .owner = grant.owner,
+                           .granted = true};
+    }
+    const auto waiting = m_waiting.find(id);
+    if (waiting == m_waiting.end()) {
+        return std::nullopt;
+    }
+    for (const auto &request : m_groups.at(waiting->second).waiting) {
+        if (request.id == id) {
+            return KnownTicket{
+                .process = request.process, .service = request.service, .owner = request.owner};
+        }
+    }
+    return std::nullopt;
+}
+
 auto SlotBroker::isWaiting(const TicketId &id) const -> bool
 {
     return m_waiting.contains(id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/key_controller_runner.h"
 #include "gateway/request_log.h"
 #include "gateway/request_path.h"
+#include "gateway/slot_log.h"
 #include "gateway/store_view.h"
 #include "gateway/topic_follower.h"
 #include "io/random_bytes.h"
@@ -53,6 +54,7 @@
         , m_incarnation(randomHex(incarnationBytes))
         , m_metrics(m_settings.vm)
         , m_requestLog(m_metrics)
+        , m_slotLog(m_metrics, m_incarnation)
         , m_storeClient(loop, {.tcpUserTimeout = storeTcpUserTimeout})
         , m_serverClient(loop,
                          {.tcpUserTimeout = serverTcpUserTimeout, .acceptsCloseDelimited = true})
@@ -70,6 +72,7 @@
         , m_limits({})
         , m_slots(
               {.self = m_settings.vm,
+               .process = m_incarnation,
                .zone = m_settings.zone,
                .broker = {},
                .randomSeed = std::random_device{}()},
@@ -78,7 +81,8 @@
                .onDecision =
                    [this](auto ticket, const auto &outcome) {
                        m_path.onSlotDecision(ticket, outcome);
-                   }})
+                   },
+               .onConflict = [this](const auto &conflict) { m_slotLog.add(conflict); }})
         , m_path(
               loop, m_serverClient, m_slots, m_limits,
               {.retryRatio = m_settings.retryRatio * retryShare,
@@ -91,6 +95,10 @@
                .onKey = [this](const auto &service, auto key) { m_keyLoads.count(service, key); },
                .fleetSize = [this] { return static_cast<double>(m_view.members().size()) + 1.0; },
                .onStaleOwner = [this] { m_fleetFollower.readNow(); },
+               .onOtherService =
+                   [this](const auto &record, const auto &server) {
+                       m_slotLog.addOtherService(record, server);
+                   },
                .onEnd = [this](const RequestRecord &record) { m_requestLog.add(record); }})
         , m_controllerRunner(
               loop, m_store, m_commandSender,
@@ -305,7 +313,7 @@
             }
             return;
         }
-        m_slots.onMessage(message.from, message.payload, now);
+        m_slots.onMessage(message, now);
     }
 
     [[nodiscard]] auto followers() -> std::array<Follower *, 3>
@@ -439,6 +447,7 @@
     std::string m_incarnation;
     Metrics m_metrics;
     RequestLog m_requestLog;
+    SlotLog m_slotLog;
     HttpClient m_storeClient;
     HttpClient m_serverClient;
     HttpClient m_commandClient;
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -44,6 +44,8 @@
     std::function<void(const ServiceId &, ShardKey)> onKey;
     std::function<double()> fleetSize; ///< number of VMs, at least 1
     std::function<void()> onStaleOwner; ///< a server rejected a key that it should own
+    /// Called if the granted server runs another service than the request's.
+    std::function<void(const RequestRecord &, const ServerEntry &)> onOtherService;
     std::function<void(const RequestRecord &)> onEnd; ///< called once per completed request
 };
 
@@ -193,6 +195,9 @@
         const auto usable = server != nullptr
             && server->entry.startedUnixMs == incarnation.startedUnixMs
             && m_handlers.registry().acceptsRequests(*server);
+        if (server != nullptr && server->entry.service != active.service) {
+            m_handlers.onOtherService(active.record, server->entry);
+        }
         if (!usable || timeLeft < m_options.minTimeToSend) {
             m_slots.release(number, {.end = SlotEnd::Abandoned}, now);
             active.excluded.push_back(incarnation.server);
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -20,8 +20,28 @@
     return ServiceId(service.value() + "#" + std::to_string(group));
 }
 
+// Returns whether a message about a known ticket may be about another request.
+auto differs(const KnownTicket &known, const KnownTicket &named) -> bool
+{
+    return known.process != named.process || known.service != named.service
+        || known.owner != named.owner;
+}
+
 } // namespace
 
+auto toText(TicketConflictKind kind) -> std::string_view
+{
+    switch (kind) {
+    case TicketConflictKind::Acquire:
+        return "acquire";
+    case TicketConflictKind::Release:
+        return "release";
+    case TicketConflictKind::Response:
+        return "response";
+    }
+    return "unknown";
+}
+
 SlotClient::SlotClient(SlotClientOptions options, const FleetView &view,
                        SlotClientHandlers handlers)
     : m_options(std::move(options))
@@ -95,6 +115,7 @@
 {
     request.service = pickGroup(request);
     request.id.vm = m_options.self;
+    request.process = m_options.process;
     request.zone = m_options.zone;
     const auto number = request.id.number;
     auto &ticket = m_tickets[number];
@@ -174,6 +195,7 @@
             continue;
         }
         auto response = SlotResponse{.ticket = decision.id.number};
+        response.process = decision.process;
         if (const auto *grant = std::get_if<SlotGrant>(&decision.outcome)) {
             response.state = SlotState::Granted;
             response.server = grant->server;
@@ -200,24 +222,34 @@
     m_handlers.onDecision(number, outcome);
 }
 
-auto SlotClient::onMessage(const VmId &from, const FleetPayload &payload, TimePoint now) -> void
+auto SlotClient::onMessage(const FleetMessage &message, TimePoint now) -> void
 {
-    if (const auto *acquire = std::get_if<SlotAcquire>(&payload)) {
-        onAcquire(from, *acquire, now);
-    } else if (const auto *response = std::get_if<SlotResponse>(&payload)) {
-        onResponse(from, *response, now);
-    } else if (const auto *release = std::get_if<SlotRelease>(&payload)) {
-        m_broker.release({.vm = from, .number = release->ticket},
-                         {.end = release->end, .elapsed = release->elapsed, .load = release->load},
-                         now);
-        deliver(m_broker);
+    if (const auto *acquire = std::get_if<SlotAcquire>(&message.payload)) {
+        onAcquire(message, *acquire, now);
+    } else if (const auto *response = std::get_if<SlotResponse>(&message.payload)) {
+        onResponse(message.from, *response, now);
+    } else if (const auto *release = std::get_if<SlotRelease>(&message.payload)) {
+        onRelease(message, *release, now);
     }
 }
 
-auto SlotClient::onAcquire(const VmId &from, const SlotAcquire &acquire, TimePoint now) -> void
+auto SlotClient::onAcquire(const FleetMessage &message, const SlotAcquire &acquire, TimePoint now)
+    -> void
 {
-    const auto id = TicketId{.vm = from, .number = acquire.ticket};
+    const auto id = TicketId{.vm = message.from, .number = acquire.ticket};
+    if (const auto known = m_broker.find(id)) {
+        const auto named = KnownTicket{
+            .process = message.incarnation, .service = acquire.service, .owner = acquire.owner};
+        if (differs(*known, named)) {
+            m_handlers.onConflict({.kind = TicketConflictKind::Acquire,
+                                   .from = message.from,
+                                   .number = acquire.ticket,
+                                   .known = *known,
+                                   .named = named});
+        }
+    }
     m_broker.acquire({.id = id,
+                      .process = message.incarnation,
                       .service = acquire.service,
                       .owner = acquire.owner,
                       .excluded = acquire.excluded,
@@ -229,8 +261,27 @@
                      now);
     deliver(m_broker);
     if (m_broker.isWaiting(id)) {
-        m_handlers.send(from, SlotResponse{.ticket = acquire.ticket, .state = SlotState::Queued});
+        auto response = SlotResponse{.ticket = acquire.ticket, .state = SlotState::Queued};
+        response.process = message.incarnation;
+        m_handlers.send(message.from, response);
+    }
+}
+
+auto SlotClient::onRelease(const FleetMessage &message, const SlotRelease &release, TimePoint now)
+    -> void
+{
+    const auto id = TicketId{.vm = message.from, .number = release.ticket};
+    const auto known = m_broker.find(id);
+    if (known && known->process != message.incarnation) {
+        m_handlers.onConflict({.kind = TicketConflictKind::Release,
+                               .from = message.from,
+                               .number = release.ticket,
+                               .known = *known,
+                               .named = {.process = message.incarnation}});
     }
+    m_broker.release(id, {.end = release.end, .elapsed = release.elapsed, .load = release.load},
+                     now);
+    deliver(m_broker);
 }
 
 auto SlotClient::onResponse(const VmId &from, const SlotResponse &response, TimePoint now) -> void
@@ -246,6 +297,18 @@
         }
         return;
     }
+    if (!response.process.empty() && response.process != m_options.process) {
+        const auto &request = found->second.request;
+        m_handlers.onConflict({.kind = TicketConflictKind::Response,
+                               .from = from,
+                               .number = response.ticket,
+                               .known = {.process = request.process,
+                                         .service = request.service,
+                                         .owner = request.owner},
+                               .named = {.process = response.process,
+                                         .owner = response.server.server,
+                                         .granted = response.state == SlotState::Granted}});
+    }
     found->second.lastResponseAt = now;
     m_avoidedUntil.erase(from);
     if (response.state == SlotState::Granted) {
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// @file
@@ -21,6 +22,7 @@
 struct SlotClientOptions
 {
     VmId self;
+    std::string process; ///< incarnation of this VM's process
     AvailabilityZoneId zone;
     SlotBrokerOptions broker;
     std::uint64_t randomSeed = 0;
@@ -30,6 +32,28 @@
     milliseconds avoidFor{1500}; ///< a replaced VM gets no requests for this long
 };
 
+/// What a message about a ticket does not agree with.
+enum class TicketConflictKind {
+    Acquire, ///< a known ticket is requested by another process or for other servers
+    Release, ///< a ticket of another process is released
+    Response, ///< the response to another process is taken for one to this process
+};
+
+/// Returns "acquire", "release" or "response".
+[[nodiscard]] auto toText(TicketConflictKind kind) -> std::string_view;
+
+/// A message that names a ticket of another request.
+struct TicketConflict
+{
+    TicketConflictKind kind = TicketConflictKind::Acquire;
+    VmId from; ///< sender of the message
+    std::uint64_t number = 0; ///< of the ticket
+    KnownTicket known; ///< the ticket that the message acts on
+    KnownTicket named; ///< what the message is about, as far as it says so
+
+    auto operator==(const TicketConflict &) const -> bool = default;
+};
+
 /// Callbacks of SlotClient.
 struct SlotClientHandlers
 {
@@ -38,6 +62,8 @@
     /// Called with the decision on a ticket.
     std::function<void(std::uint64_t ticket, const std::variant<SlotGrant, SlotRefusal> &)>
         onDecision;
+    /// Called for a message that names a ticket of another request.
+    std::function<void(const TicketConflict &)> onConflict;
 };
 
 /// Requests slots for this VM and responds to the slot requests of other VMs.
@@ -57,7 +83,7 @@
     /// Releases the slot of a ticket, or withdraws its request. Unknown tickets are ignored.
     auto release(std::uint64_t ticket, const SlotResult &result, TimePoint now) -> void;
     /// Processes a message of another VM.
-    auto onMessage(const VmId &from, const FleetPayload &payload, TimePoint now) -> void;
+    auto onMessage(const FleetMessage &message, TimePoint now) -> void;
     /// Resends unanswered requests, fails over from a VM that does not respond to another one, and
     /// delivers decisions of the brokers that are due.
     auto tick(TimePoint now) -> void;
@@ -98,7 +124,8 @@
     auto deliver(SlotBroker &broker) -> void;
     auto resolveTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome)
         -> void;
-    auto onAcquire(const VmId &from, const SlotAcquire &acquire, TimePoint now) -> void;
+    auto onAcquire(const FleetMessage &message, const SlotAcquire &acquire, TimePoint now) -> void;
+    auto onRelease(const FleetMessage &message, const SlotRelease &release, TimePoint now) -> void;
     auto onResponse(const VmId &from, const SlotResponse &response, TimePoint now) -> void;
 
     SlotClientOptions m_options;
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -95,6 +95,9 @@
                               "Decisions of the filters on the path of a request.")};
     MetricCache<prometheus::Counter> refusals{registerCounterFamily(
         registry, "figlanding_refusals_total", "Requests that got no server's answer, by reason.")};
+    MetricCache<prometheus::Counter> slotMismatches{registerCounterFamily(
+        registry, "figlanding_slot_mismatches_total",
+        "Slots and tickets that do not belong to the request that uses them, by kind.")};
     MetricCache<prometheus::Counter> retries{registerCounterFamily(
         registry, "figlanding_retries_total", "Second and later attempts at a request, by cause.")};
     MetricCache<prometheus::Counter> dispatches{registerCounterFamily(
@@ -159,6 +162,11 @@
     m_impl->refusals.get(text, {{"reason", text}}).Increment();
 }
 
+auto Metrics::countSlotMismatch(const std::string &kind) -> void
+{
+    m_impl->slotMismatches.get(kind, {{"kind", kind}}).Increment();
+}
+
 auto Metrics::countRetry(const std::string &cause) -> void
 {
     m_impl->retries.get(cause, {{"cause", cause}}).Increment();
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -43,6 +43,9 @@
     auto countFilterDecision(const std::string &filter, FilterOutcome outcome) -> void;
     /// Counts a refused request.
     auto countRefusal(RefusalReason reason) -> void;
+    /// Counts a slot or a ticket that does not belong to the request that uses it.
+    /// @param kind what does not match: "acquire", "release", "response" or "service"
+    auto countSlotMismatch(const std::string &kind) -> void;
     /// Counts a second or later attempt at a request.
     /// @param cause reason for the retry, such as "not-run" or "hedge"
     auto countRetry(const std::string &cause) -> void;
--- a/tests/contract/metrics_test.cpp
+++ b/tests/contract/metrics_test.cpp
@@ -17,6 +17,7 @@
     metrics.countRequest({.verdict = Verdict::NotRun, .status = 404});
     metrics.countFilterDecision("limit", FilterOutcome::Refused);
     metrics.countRefusal(RefusalReason::RateLimited);
+    metrics.countSlotMismatch("acquire");
     metrics.countRetry("not-run");
     metrics.countRetry("not-run");
     metrics.countDispatch(BackendServerId("s1"), Verdict::MayHaveRun, milliseconds(20));
@@ -35,6 +36,7 @@
         R"(figlanding_request_duration_seconds_bucket{route="rooms",le="0.005"} 1)",
         R"(figlanding_filter_decisions_total{filter="limit",outcome="refused"} 1)",
         R"(figlanding_refusals_total{reason="rate-limited"} 1)",
+        R"(figlanding_slot_mismatches_total{kind="acquire"} 1)",
         R"(figlanding_retries_total{cause="not-run"} 2)",
         R"(figlanding_dispatches_total{server="s1",verdict="may-have-run"} 1)",
         R"(figlanding_server_queue_length{server="s1"} 4)",
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -160,6 +160,7 @@
                                      .deadlineIn = milliseconds(900)};
     CHECK(roundTrip(acquire).payload == FleetPayload(acquire));
     const auto response = SlotResponse{.ticket = 9,
+                                       .process = "p",
                                        .state = SlotState::Granted,
                                        .server = {BackendServerId("s"), 7},
                                        .retryAfter = milliseconds(3)};
