Answer every request before a VM that shuts down stops

Callers saw their connection closed without an answer when a VM stopped at the end of its grace period.

Requests whose deadline is later than the end of the grace period are ended by nothing else, and the HTTP server closes their connections when it is destroyed.

Once the load balancer has removed the VM, a request that is not at a server and has a deadline after the stop is refused as not run, whether it waits or arrives then: another VM has the time that it may need. Before that the VM serves such requests, as most end in time and a retry could reach it again. A request with an earlier deadline is served or expires as before. A request that is at a server when the VM stops is answered with 502, and the VM stops once its responses are sent.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -215,8 +215,10 @@
     static constexpr double retryShare = 0.7;
     /// The load balancer probes readiness once per second and removes a VM after two failed probes.
     static constexpr milliseconds loadBalancerDelay{2300};
-    /// The loop stops this long before the end of the grace period at the latest.
+    /// Requests that are not completed are answered this long before the end of the grace period.
     static constexpr milliseconds shutdownMargin{700};
+    /// Time in which their callers receive the responses.
+    static constexpr milliseconds lastResponsesTime{200};
     /// A period of failed reads counts as an outage if it is longer than this.
     static constexpr milliseconds minOutage{800};
 
@@ -424,11 +426,16 @@
     auto advanceShutdown(TimePoint now) -> void
     {
         const auto elapsed = now - m_leavingSince;
+        const auto timeToServe = m_settings.gracePeriod - shutdownMargin;
         if (elapsed > loadBalancerDelay && !std::exchange(m_drained, true)) {
             m_callerServer->drain();
+            m_path.stopAt(m_leavingSince + timeToServe);
+        }
+        if (elapsed > timeToServe) {
+            m_path.endAll();
         }
         const auto done = m_drained && m_path.pending() == 0 && m_callerServer->pending() == 0;
-        if (done || elapsed > m_settings.gracePeriod - shutdownMargin) {
+        if (done || elapsed > timeToServe + lastResponsesTime) {
             logEvent(LogLevel::Info, "stopped", {{"pending", m_path.pending()}});
             m_loop.stop();
         }
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <utility>
+#include <vector>
 
 /// @file
 /// Forwards requests of callers to servers and returns the responses: routing, team limits, slots,
@@ -83,6 +84,10 @@
             refuse(number, std::move(*refusal));
             return;
         }
+        if (active.deadline > m_stopAt) {
+            refuseUnsent(number);
+            return;
+        }
         m_retries.onRequest(active.service, m_handlers.fleetSize());
         dispatch(number);
     }
@@ -112,7 +117,7 @@
     {
         auto due = std::vector<std::uint64_t>{};
         for (const auto &[number, active] : m_requests) {
-            if (now >= active.deadline
+            if (now >= active.deadline || isTooLong(active)
                 || (active.stage == Stage::Idle && now >= active.dispatchAt)) {
                 due.push_back(number);
             }
@@ -124,12 +129,40 @@
             }
             if (now >= found->second.deadline) {
                 expire(number);
+            } else if (isTooLong(found->second)) {
+                refuseUnsent(number);
             } else {
                 dispatch(number);
             }
         }
     }
 
+    /// Sets when this VM stops. From the next tick on, a request that is not at a server is refused
+    /// if its deadline is later: another VM has the time that it may need.
+    auto stopAt(TimePoint stop) -> void
+    {
+        m_stopAt = stop;
+    }
+    /// Answers every request that is not completed: one at a server as of unknown outcome, others
+    /// as not run. Later requests are refused.
+    auto endAll() -> void
+    {
+        m_stopAt = TimePoint::min();
+        // Unsent requests come first, so that none of them is granted a slot that is released here.
+        tick(m_loop.now());
+        auto sent = std::vector<std::uint64_t>{};
+        for (const auto &[number, active] : m_requests) {
+            sent.push_back(number);
+        }
+        for (const auto number : sent) {
+            if (m_requests.contains(number)) {
+                withdraw(number, SlotEnd::Abandoned);
+                refuse(number,
+                       {.reason = RefusalReason::AnswerLost, .detail = "this VM shuts down"});
+            }
+        }
+    }
+
     /// Returns the number of requests that are not completed.
     [[nodiscard]] auto pending() const -> std::size_t
     {
@@ -317,8 +350,24 @@
         refuse(number, std::move(refusal));
     }
 
-    // Refuses a request whose deadline has passed and cancels what it waits for.
-    auto expire(std::uint64_t number) -> void
+    // Returns whether a request that is not at a server may not complete before this VM stops.
+    [[nodiscard]] auto isTooLong(const ActiveRequest &active) const -> bool
+    {
+        return active.stage != Stage::AwaitingResponse && active.deadline > m_stopAt;
+    }
+
+    auto refuseUnsent(std::uint64_t number) -> void
+    {
+        withdraw(number, SlotEnd::Abandoned);
+        const auto notRun = m_requests.at(number).verdict == Verdict::NotRun;
+        refuse(number,
+               {.reason = notRun ? RefusalReason::ShuttingDown : RefusalReason::AnswerLost,
+                .detail = "this VM shuts down",
+                .retryAfter = notRun ? std::optional<Duration>(milliseconds(100)) : std::nullopt});
+    }
+
+    // Cancels what a request waits for, and takes into account that its server may have run it.
+    auto withdraw(std::uint64_t number, SlotEnd endAtServer) -> void
     {
         auto &active = m_requests.at(number);
         const auto now = m_loop.now();
@@ -327,17 +376,24 @@
             m_client.cancel(std::exchange(active.call, 0));
         }
         if (active.stage != Stage::Idle) {
-            m_slots.release(number,
-                            {.end = sent ? SlotEnd::TimedOut : SlotEnd::Abandoned,
-                             .elapsed = now - active.sentAt},
-                            now);
+            m_slots.release(
+                number,
+                {.end = sent ? endAtServer : SlotEnd::Abandoned, .elapsed = now - active.sentAt},
+                now);
         }
         active.verdict = combine(active.verdict, sent ? Verdict::MayHaveRun : Verdict::NotRun);
-        const auto notRun = active.verdict == Verdict::NotRun;
+    }
+
+    // Refuses a request whose deadline has passed and cancels what it waits for.
+    auto expire(std::uint64_t number) -> void
+    {
+        withdraw(number, SlotEnd::TimedOut);
+        const auto verdict = m_requests.at(number).verdict;
+        const auto notRun = verdict == Verdict::NotRun;
         refuse(number,
                {.reason = notRun ? RefusalReason::QueueFull : RefusalReason::DeadlineExceeded,
                 .detail = notRun ? "no slot until the deadline" : "no answer in time",
-                .verdict = active.verdict,
+                .verdict = verdict,
                 .retryAfter = notRun ? std::optional<Duration>(milliseconds(100)) : std::nullopt});
     }
 
@@ -419,6 +475,7 @@
     RequestRetries m_retries;
     std::map<std::uint64_t, ActiveRequest> m_requests;
     std::uint64_t m_nextNumber = 1;
+    TimePoint m_stopAt = TimePoint::max();
 };
 
 } // namespace figlanding
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -26,7 +27,9 @@
  {"Name":"book","Hostname":"x.example","PathPrefix":"/book/","RouteType":"unsafe",
   "Timeout":"2000ms","TargetLatency":"500ms","Service":"ledger","Attempts":2},
  {"Name":"read","Hostname":"x.example","PathPrefix":"/read/","RouteType":"safe",
-  "Timeout":"2000ms","TargetLatency":"500ms","Service":"ledger","Attempts":2}],
+  "Timeout":"2000ms","TargetLatency":"500ms","Service":"ledger","Attempts":2},
+ {"Name":"report","Hostname":"x.example","PathPrefix":"/report/","RouteType":"safe",
+  "Timeout":"9000ms","TargetLatency":"500ms","Service":"ledger","Attempts":2}],
  "Services":[{"Name":"rooms","Sharded":true},{"Name":"ledger"}],
  "Tenants":[{"Name":"band","ApiKeys":["key"],"RatePerS":1000,"Burst":1000},
             {"Name":"small","ApiKeys":["low"],"RatePerS":1,"Burst":2}]})";
@@ -35,8 +38,9 @@
 class Deployment
 {
 public:
-    explicit Deployment(int vms)
-        : m_announceTimer(m_loop, [this] { announce(); })
+    explicit Deployment(int vms, milliseconds gracePeriod = milliseconds(6000))
+        : m_gracePeriod(gracePeriod)
+        , m_announceTimer(m_loop, [this] { announce(); })
         , m_client(m_loop, {})
     {
         REQUIRE(succeeds([&] { return m_store.start(); }));
@@ -81,6 +85,19 @@
         m_client.call(m_callers.at(vm), std::move(request), {.timeout = milliseconds(5000)},
                       std::move(callback));
     }
+    // Starts long requests. The outcomes are filled in as they are answered.
+    auto startReports(std::size_t vm, std::size_t count)
+        -> std::shared_ptr<std::vector<std::optional<HttpOutcome>>>
+    {
+        auto outcomes = std::make_shared<std::vector<std::optional<HttpOutcome>>>(count);
+        for (std::size_t i = 0; i < count; ++i) {
+            auto report = request("GET", "/report/1", std::string("r").append(std::to_string(i)));
+            report.headers.set("x-deadline-ms", "9000");
+            start(vm, std::move(report),
+                  [outcomes, i](HttpOutcome outcome) { outcomes->at(i) = std::move(outcome); });
+        }
+        return outcomes;
+    }
     [[nodiscard]] auto request(const std::string &method, const std::string &target,
                                const std::string &id, const std::string &key = "key") const
         -> HttpRequest
@@ -174,7 +191,8 @@
                                               .readiness = freeAddress(),
                                               .admin = freeAddress(),
                                               .fleet = freeAddress(),
-                                              .store = m_store.address()};
+                                              .store = m_store.address(),
+                                              .gracePeriod = m_gracePeriod};
         m_callers.push_back(settings.callers);
         m_vms.push_back(std::make_unique<Vm>(m_loop, settings));
         REQUIRE(succeeds([&] { return m_vms.back()->start(); }));
@@ -200,6 +218,7 @@
     EventLoop m_loop;
     PlatformStore m_store{m_loop};
     std::vector<AnnouncedServer> m_servers;
+    milliseconds m_gracePeriod;
     Timer m_announceTimer;
     HttpClient m_client;
     std::vector<SocketAddress> m_callers;
@@ -208,6 +227,12 @@
     int m_number = 1;
 };
 
+// Returns the status of a response; 0 if the connection ended without one.
+auto statusOf(const std::optional<HttpOutcome> &outcome) -> int
+{
+    return outcome && outcome->verdict == Verdict::Ran ? outcome->response.status : 0;
+}
+
 } // namespace
 
 TEST_CASE("every VM of three serves requests with and without a key, and a key has one owner")
@@ -344,3 +369,85 @@
     deployment.runFor(lease);
     CHECK(deployment.serves(2, "/keyed/1"));
 }
+
+TEST_CASE("a VM that shuts down refuses a request that waits for a slot as not run")
+{
+    auto deployment = Deployment(1, milliseconds(3600));
+    REQUIRE(deployment.serves(0, "/read/1"));
+    deployment.server(2).options().work = milliseconds(30'000);
+    deployment.server(3).options().work = milliseconds(30'000);
+    const auto slots = std::size_t{4};
+    const auto atWork = deployment.startReports(0, slots);
+    deployment.runFor(milliseconds(200));
+    auto waiting = std::optional<HttpOutcome>();
+    auto report = deployment.request("GET", "/report/1", "waiting");
+    report.headers.set("x-deadline-ms", "9000");
+    deployment.start(0, std::move(report),
+                     [&](HttpOutcome outcome) { waiting = std::move(outcome); });
+    deployment.runFor(milliseconds(200));
+    REQUIRE_FALSE(waiting);
+    deployment.vm(0)->leave();
+    // The loop ends when the VM stops.
+    deployment.runUntil([&] { return waiting.has_value(); });
+    deployment.vm(0).reset();
+    deployment.runUntil([&] { return waiting.has_value(); });
+    REQUIRE(waiting);
+    CHECK(statusOf(waiting) == 503);
+    CHECK(waiting->response.headers.find("retry-after"));
+    for (const auto index : {2U, 3U}) {
+        CHECK_FALSE(deployment.server(index).runs().contains("waiting"));
+    }
+}
+
+TEST_CASE("a VM that shuts down answers every request at a server before it stops")
+{
+    auto deployment = Deployment(1, milliseconds(3600));
+    REQUIRE(deployment.serves(0, "/read/1"));
+    deployment.server(2).options().work = milliseconds(1500);
+    deployment.server(3).options().work = milliseconds(30'000);
+    const auto outcomes = deployment.startReports(0, 4);
+    deployment.runFor(milliseconds(200));
+    deployment.vm(0)->leave();
+    const auto all = [&] {
+        return std::all_of(outcomes->begin(), outcomes->end(),
+                           [](const auto &outcome) { return outcome.has_value(); });
+    };
+    deployment.runUntil(all);
+    deployment.vm(0).reset();
+    deployment.runUntil(all);
+    auto statuses = std::vector<int>{};
+    for (const auto &outcome : *outcomes) {
+        statuses.push_back(statusOf(outcome));
+    }
+    CHECK(std::count(statuses.begin(), statuses.end(), 200) == 2);
+    // 502: the outcome at the slow server is unknown.
+    CHECK(std::count(statuses.begin(), statuses.end(), 502) == 2);
+}
+
+TEST_CASE("a VM that the load balancer has removed refuses requests that it may not complete")
+{
+    auto deployment = Deployment(1);
+    REQUIRE(deployment.serves(0, "/read/1"));
+    const auto allAnswered = [](const auto &outcomes) {
+        return std::all_of(outcomes->begin(), outcomes->end(),
+                           [](const auto &outcome) { return outcome.has_value(); });
+    };
+    const auto connections = deployment.startReports(0, 4);
+    REQUIRE(deployment.runUntil([&] { return allAnswered(connections); }));
+    deployment.server(2).options().work = milliseconds(4000);
+    deployment.server(3).options().work = milliseconds(4000);
+    const auto pending = deployment.startReports(0, 1);
+    deployment.runFor(milliseconds(200));
+    deployment.server(2).options().work = milliseconds(20);
+    deployment.server(3).options().work = milliseconds(20);
+    deployment.vm(0)->leave();
+    deployment.runFor(milliseconds(2600));
+    auto report = deployment.request("GET", "/report/1", "late");
+    report.headers.set("x-deadline-ms", "9000");
+    const auto late = deployment.send(0, std::move(report));
+    CHECK(statusOf(late) == 503);
+    CHECK(late.response.headers.find("retry-after"));
+    CHECK(statusOf(deployment.send(0, deployment.request("GET", "/read/1", "short"))) == 200);
+    CHECK(deployment.runUntil([&] { return allAnswered(pending); }));
+    CHECK(statusOf(pending->front()) == 200);
+}
