Cut off answers whose head or chunk framing has no end

What callers saw: a server may send bytes that are no answer until the client closes. With chunk extensions or trailer fields without end, a call lasted until its deadline (10 s in the test) and read at full speed meanwhile, and the request could not be tried elsewhere. Heads without end were ended by libcurl's own limits, with an error that named none.

Cause: only the decoded body was counted. Interim answers, trailers and chunk framing passed uncounted, and 101 was read as a body to its end.

Change: HttpClientOptions::maxHeadBytes limits all header and trailer lines of a call. Chunk framing may take eight bytes per byte of content beyond that. An announced length above the limit, a missing length and a change of protocol end the call at the end of the head.

Evidence: the new test plays 18 answers without end at full speed and trickled.

--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -51,6 +51,10 @@
 {
     std::size_t maxConnectionsPerHost = 120;
     std::size_t maxIdleConnections = 1024;
+    /// Limit for all header and trailer lines of a call, interim responses included; more fails the
+    /// call. libcurl limits a single line to 100 KiB before this limit sees it. Servers that answer
+    /// properly stay within 16 KiB, as the heads of requests do.
+    std::size_t maxHeadBytes = std::size_t{64} * 1024;
     std::size_t maxBodyBytes = std::size_t{64} * 1024 * 1024; ///< a larger body fails the call
     milliseconds tcpUserTimeout{5000}; ///< TCP_USER_TIMEOUT: closes if data stays unacknowledged
     /// Accepts responses whose body is delimited by the end of the connection. A connection reset
@@ -59,6 +63,8 @@
 };
 
 /// Sends requests. A response whose body is shorter or longer than its framing states is a failure.
+/// A response that exceeds a limit fails the call with LimitExceeded and closes the connection; so
+/// does one whose chunk framing is far larger than its content.
 class HttpClient
 {
 public:
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -18,6 +18,10 @@
 
 constexpr long keepAliveIdleSeconds = 5;
 constexpr long keepAliveIntervalSeconds = 2;
+constexpr int statusSwitchingProtocols = 101;
+constexpr int statusFirstFinal = 200;
+/// Framing bytes accepted for each byte of a chunked body; chunks of one byte need five.
+constexpr std::uint64_t maxFramingRatio = 8;
 
 // Returns whether the client generates the header itself; the request's own value is ignored.
 auto isFramingHeader(std::string_view name) -> bool
@@ -70,6 +74,7 @@
 
 HttpTransfer::HttpTransfer(ConnectionRegistry &registry, const HttpClientOptions &options)
     : m_registry(registry)
+    , m_maxHeadBytes(options.maxHeadBytes)
     , m_maxBodyBytes(options.maxBodyBytes)
     , m_tcpUserTimeout(options.tcpUserTimeout)
     , m_acceptsCloseDelimited(options.acceptsCloseDelimited)
@@ -110,6 +115,10 @@
     curl_easy_setopt(m_easy, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(m_easy, CURLOPT_SOCKOPTFUNCTION, &HttpTransfer::onSocketOptions);
     curl_easy_setopt(m_easy, CURLOPT_SOCKOPTDATA, this);
+    // The only callback that can end a call while libcurl decodes chunk framing.
+    curl_easy_setopt(m_easy, CURLOPT_XFERINFOFUNCTION, &HttpTransfer::onProgress);
+    curl_easy_setopt(m_easy, CURLOPT_XFERINFODATA, this);
+    curl_easy_setopt(m_easy, CURLOPT_NOPROGRESS, 0L);
     // libcurl silently drops body bytes beyond Content-Length. Only the debug callback sees them.
     curl_easy_setopt(m_easy, CURLOPT_DEBUGFUNCTION, &HttpTransfer::onDebug);
     curl_easy_setopt(m_easy, CURLOPT_DEBUGDATA, this);
@@ -125,11 +134,12 @@
     m_start = MonotonicClock::now();
     m_request = std::move(request);
     m_response = HttpResponse{.status = 0, .headers = {}, .body = {}};
+    m_headBytes = 0;
     m_bodyBytesReceived = 0;
+    m_responseError.reset();
     m_openedSocket = -1;
     m_socket = -1;
-    m_newConnection = m_headersComplete = m_staleConnection = m_resendBlocked = m_bodyTooLarge =
-        m_correlationMismatch = false;
+    m_newConnection = m_headersComplete = m_staleConnection = m_resendBlocked = false;
 
     const auto url = "http://" + toText(address) + "/";
     curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
@@ -234,38 +244,87 @@
     return !m_staleConnection;
 }
 
-// Processes one line of the response header. Returns false if the correlation header shows that
-// the response belongs to another request.
+// Processes one line of a response header or trailer. Returns false if the call must end.
 auto HttpTransfer::appendHeaderLine(std::string_view line) -> bool
 {
+    m_headBytes += line.size();
+    if (m_headBytes > m_maxHeadBytes) {
+        m_responseError = tooLarge("header", m_maxHeadBytes);
+        return false;
+    }
     if (line.starts_with("HTTP/")) {
         m_response.status = parseStatusCode(line);
         m_response.headers = HttpHeaders{};
         m_headersComplete = false;
         return true;
     }
-    const auto colon = line.find(':');
+    if (m_headersComplete) {
+        return true; // a trailer
+    }
     if (trimmed(line).empty()) {
-        m_headersComplete = true;
-        const auto &expected = m_options.correlationHeader;
-        const auto found = expected ? m_response.headers.find(expected->first) : std::nullopt;
-        m_correlationMismatch = found && *found != expected->second;
-    } else if (!m_headersComplete && colon != std::string_view::npos) {
+        return completeHead();
+    }
+    if (const auto colon = line.find(':'); colon != std::string_view::npos) {
         m_response.headers.add(line.substr(0, colon), trimmed(line.substr(colon + 1)));
     }
-    return !m_correlationMismatch;
+    return true;
+}
+
+auto HttpTransfer::completeHead() -> bool
+{
+    m_headersComplete = true;
+    m_responseError = headError();
+    return !m_responseError;
+}
+
+// Returns why the header shows that the response is not usable, before its body is read.
+auto HttpTransfer::headError() const -> std::optional<Error>
+{
+    const auto &headers = m_response.headers;
+    const auto &expected = m_options.correlationHeader;
+    const auto found = expected ? headers.find(expected->first) : std::nullopt;
+    if (found && *found != expected->second) {
+        return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer to another request"};
+    }
+    if (m_response.status == statusSwitchingProtocols) {
+        return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer changes the protocol"};
+    }
+    if (m_response.status < statusFirstFinal || hasNoBody()) {
+        return std::nullopt;
+    }
+    const auto length = headers.find("content-length");
+    if (!length && !headers.find("transfer-encoding") && !m_acceptsCloseDelimited) {
+        return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer announces no length"};
+    }
+    if (length && parseLength(*length).value_or(0) > m_maxBodyBytes) {
+        return tooLarge("body", m_maxBodyBytes);
+    }
+    return std::nullopt;
 }
 
 auto HttpTransfer::appendBody(std::string_view data) -> bool
 {
     if (data.size() > m_maxBodyBytes - m_response.body.size()) {
-        m_bodyTooLarge = true;
+        m_responseError = tooLarge("body", m_maxBodyBytes);
         return false;
     }
     m_response.body.append(data);
     return true;
 }
 
+// Returns whether the bytes read so far are mostly chunk framing. Trailers are limited as headers.
+auto HttpTransfer::framingTooLarge() const -> bool
+{
+    const auto size = m_response.body.size();
+    return m_bodyBytesReceived > m_maxHeadBytes + size * (1 + maxFramingRatio);
+}
+
+// Returns whether the response has no body, whatever its header announces.
+auto HttpTransfer::hasNoBody() const -> bool
+{
+    return m_request.method == "HEAD" || statusHasNoBody(m_response.status);
+}
+
 // Returns why the length of the response body is ambiguous or wrong, or an empty string. libcurl
 // accepts such responses, but a router must not forward them as complete.
 auto HttpTransfer::framingError() const -> std::string
@@ -281,7 +340,7 @@
     if (lengths.size() > 1 || (!lengths.empty() && transferEncoding)) {
         return "answer announces its length more than once";
     }
-    if (m_request.method == "HEAD" || statusHasNoBody(m_response.status)) {
+    if (hasNoBody()) {
         return m_bodyBytesReceived == 0 ? "" : "answer without a body has one";
     }
     if (transferEncoding) {
@@ -298,25 +357,28 @@
     return {};
 }
 
+auto HttpTransfer::tooLarge(const std::string &part, std::size_t limit) const -> Error
+{
+    return {.code = ErrorCode::LimitExceeded,
+            .detail = part + " of the answer is larger than " + std::to_string(limit) + " bytes"};
+}
+
 auto HttpTransfer::toError(CURLcode code) const -> Error
 {
     const auto sent = std::to_string(bytesSent()) + " bytes sent";
-    if (m_bodyTooLarge) {
-        return {.code = ErrorCode::LimitExceeded,
-                .detail = "answer is larger than " + std::to_string(m_maxBodyBytes) + " bytes"};
+    if (m_responseError) {
+        return {.code = m_responseError->code, .detail = m_responseError->detail + ", " + sent};
     }
     if (m_resendBlocked) {
         return {.code = ErrorCode::ConnectionFailed,
                 .detail = "reused connection closed without an answer, " + sent};
     }
-    if (m_correlationMismatch) {
-        return {.code = ErrorCode::ProtocolViolation,
-                .detail = "answer to another request, " + sent};
-    }
     const auto detail = std::string(curl_easy_strerror(code)) + ", " + sent;
     switch (code) {
     case CURLE_OPERATION_TIMEDOUT:
         return {.code = ErrorCode::Timeout, .detail = detail};
+    case CURLE_OUT_OF_MEMORY: // libcurl's code for a header line above its limit
+        return {.code = ErrorCode::LimitExceeded, .detail = detail};
     case CURLE_PARTIAL_FILE:
     case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_UNSUPPORTED_PROTOCOL:
@@ -374,6 +436,16 @@
     return static_cast<HttpTransfer *>(self)->appendBody({data, size * count}) ? size * count : 0;
 }
 
+auto HttpTransfer::onProgress(void *self, curl_off_t, curl_off_t, curl_off_t, curl_off_t) -> int
+{
+    // Unless decoding failed, libcurl has decoded all bytes it has read when it calls this.
+    auto *transfer = static_cast<HttpTransfer *>(self);
+    if (transfer->framingTooLarge()) {
+        transfer->m_responseError = transfer->tooLarge("chunk framing", transfer->m_maxHeadBytes);
+    }
+    return transfer->m_responseError ? 1 : 0;
+}
+
 auto HttpTransfer::onDebug(CURL *, curl_infotype type, char *, size_t size, void *self) -> int
 {
     if (type == CURLINFO_DATA_IN) {
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -5,6 +5,7 @@
 
 #include <curl/curl.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,21 +58,29 @@
     auto setTimeouts(Duration timeLeft) -> void;
     auto admitConnection(ConnectionEndpoints endpoints) -> bool;
     auto appendHeaderLine(std::string_view line) -> bool;
+    auto completeHead() -> bool;
+    [[nodiscard]] auto framingTooLarge() const -> bool;
     auto appendBody(std::string_view data) -> bool;
     [[nodiscard]] auto bytesSent() const -> curl_off_t;
+    [[nodiscard]] auto hasNoBody() const -> bool;
+    [[nodiscard]] auto headError() const -> std::optional<Error>;
     [[nodiscard]] auto framingError() const -> std::string;
+    [[nodiscard]] auto tooLarge(const std::string &part, std::size_t limit) const -> Error;
     [[nodiscard]] auto toError(CURLcode code) const -> Error;
 
     static auto onPreRequest(void *self, char *remoteIp, char *localIp, int remotePort,
                              int localPort) -> int;
     static auto onHeader(char *data, size_t size, size_t count, void *self) -> size_t;
     static auto onBody(char *data, size_t size, size_t count, void *self) -> size_t;
+    static auto onProgress(void *self, curl_off_t downloadSize, curl_off_t downloaded,
+                           curl_off_t uploadSize, curl_off_t uploaded) -> int;
     static auto onDebug(CURL *easy, curl_infotype type, char *data, size_t size, void *self) -> int;
     static auto onOpenSocket(void *self, curlsocktype purpose, curl_sockaddr *address)
         -> curl_socket_t;
     static auto onSocketOptions(void *self, curl_socket_t fd, curlsocktype purpose) -> int;
 
     ConnectionRegistry &m_registry;
+    std::size_t m_maxHeadBytes;
     std::size_t m_maxBodyBytes;
     milliseconds m_tcpUserTimeout;
     bool m_acceptsCloseDelimited;
@@ -86,6 +95,7 @@
     std::vector<curl_slist> m_headerNodes;
 
     HttpResponse m_response;
+    std::size_t m_headBytes = 0; ///< of all responses of the call, with their trailers
     std::uint64_t m_bodyBytesReceived = 0; ///< before chunked decoding
     int m_openedSocket = -1; ///< opened by this call and not registered yet
     int m_socket = -1; ///< carries the request
@@ -93,8 +103,7 @@
     bool m_headersComplete = false;
     bool m_staleConnection = false; ///< the reused connection is not reusable
     bool m_resendBlocked = false; ///< libcurl's automatic resend was prevented
-    bool m_bodyTooLarge = false;
-    bool m_correlationMismatch = false; ///< the response belongs to another request
+    std::optional<Error> m_responseError; ///< why the client stopped reading the response
 };
 
 } // namespace figlanding
--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -34,6 +34,9 @@
 class SyncClient
 {
 public:
+    explicit SyncClient(HttpClientOptions options = {.maxBodyBytes = 1000})
+        : m_options(options)
+    { }
     auto call(const SocketAddress &address, HttpRequest request,
               const HttpCallOptions &options = {}) -> HttpOutcome
     {
@@ -58,10 +61,59 @@
     }
 
 private:
+    HttpClientOptions m_options;
     EventLoop m_loop;
-    HttpClient m_client{m_loop, HttpClientOptions{.maxBodyBytes = 1000}};
+    HttpClient m_client{m_loop, m_options};
 };
 
+// An answer that goes on until the client closes.
+struct EndlessCase
+{
+    std::string name;
+    std::string start; ///< sent once
+    std::string text; ///< sent without end
+    ErrorCode code = ErrorCode::LimitExceeded;
+};
+
+auto repeated(const std::string &text, int count) -> std::string
+{
+    auto result = std::string{};
+    for (auto i = 0; i < count; ++i) {
+        result += text;
+    }
+    return result;
+}
+
+auto endlessCases(bool acceptsCloseDelimited) -> std::vector<EndlessCase>
+{
+    const auto unframed =
+        acceptsCloseDelimited ? ErrorCode::LimitExceeded : ErrorCode::ProtocolViolation;
+    const auto ok = std::string("HTTP/1.1 200 OK\r\n");
+    const auto chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto filler = std::string(1024, 'a');
+    return {
+        {"header fields", ok, repeated("x-field: value\r\n", 64)},
+        {"one header field", ok + "x-field: ", filler},
+        {"a status line", "HTTP/1.1 200 ", filler},
+        {"no line of HTTP", "", filler, ErrorCode::ProtocolViolation},
+        {"zero bytes", "", std::string(1024, '\0'), ErrorCode::ProtocolViolation},
+        {"blank lines", "", repeated("\r\n", 512), ErrorCode::ProtocolViolation},
+        {"interim answers", "", repeated("HTTP/1.1 103 Hints\r\nx-field: value\r\n\r\n", 16)},
+        {"continue answers", "", repeated("HTTP/1.1 100 Continue\r\n\r\n", 32)},
+        {"a body without a length", ok + "\r\n", filler, unframed},
+        {"an announced body", ok + "Content-Length: 99999999999\r\n\r\n", filler},
+        {"chunks", chunked, repeated("10\r\n0123456789abcdef\r\n", 48)},
+        {"a chunk", chunked + "ffffffff\r\n", filler},
+        {"a chunk extension", chunked + "1;", filler},
+        {"chunks with long extensions", chunked, "1;" + filler + "\r\na\r\n"},
+        {"a chunk size", chunked, std::string(1024, '0'), ErrorCode::ConnectionFailed},
+        {"trailer fields", chunked + "0\r\n", repeated("x-field: value\r\n", 64)},
+        {"one trailer field", chunked + "0\r\nx-field: ", filler, ErrorCode::ConnectionFailed},
+        {"another protocol", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+         filler, ErrorCode::ProtocolViolation},
+    };
+}
+
 struct FaultCase
 {
     std::string name;
@@ -306,3 +358,39 @@
     CHECK(outcome.verdict == Verdict::Ran);
     CHECK(outcome.response.body == "ok");
 }
+
+TEST_CASE("an answer without end is cut off at the limits and its connection is closed")
+{
+    constexpr auto timeout = milliseconds(10'000);
+    for (const auto action : {RawAction::Stream, RawAction::Trickle}) {
+        for (const auto acceptsCloseDelimited : {false, true}) {
+            for (const auto &row : endlessCases(acceptsCloseDelimited)) {
+                CAPTURE(row.name);
+                CAPTURE(action);
+                CAPTURE(acceptsCloseDelimited);
+                auto server =
+                    RawServer({{read(), send(row.start), {.action = action, .text = row.text}},
+                               {read(), send(okResponse), step(RawAction::Hold)}});
+                auto syncClient = SyncClient({.maxHeadBytes = 20'000,
+                                              .maxBodyBytes = 20'000,
+                                              .acceptsCloseDelimited = acceptsCloseDelimited});
+                const auto outcome =
+                    syncClient.call(server.address(), post("b"), {.timeout = timeout});
+                CHECK(outcome.verdict == Verdict::MayHaveRun);
+                CHECK(message(outcome.error.code) == message(row.code));
+                CHECK(outcome.elapsed < timeout / 2);
+                CHECK(outcome.response.body.empty());
+                CHECK(syncClient.client().pending() == 0);
+                const auto next =
+                    syncClient.call(server.address(), post("b"), {.timeout = timeout});
+                CHECK(next.verdict == Verdict::Ran);
+                CHECK(next.newConnection);
+                CHECK(next.response.body == "ok");
+                for (auto i = 0; i < 200 && server.closedStreams() == 0; ++i) {
+                    syncClient.wait(milliseconds(10));
+                }
+                CHECK(server.closedStreams() == 1);
+            }
+        }
+    }
+}
--- a/tests/contract/raw_server.cpp
+++ b/tests/contract/raw_server.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <cstdlib>
 #include <stdexcept>
 
@@ -16,6 +17,7 @@
 
 constexpr int pollIntervalMs = 5;
 constexpr unsigned pauseMicroseconds = 10000;
+constexpr unsigned tricklePauseMicroseconds = 1000;
 
 auto loopback(std::uint16_t port) -> sockaddr_in
 {
@@ -111,6 +113,28 @@
     m_requests.push_back(text);
 }
 
+auto RawServer::stream(int fd, const RawStep &step) -> void
+{
+    auto item = pollfd{.fd = fd, .events = POLLOUT, .revents = 0};
+    auto position = std::size_t{0};
+    while (!m_stop) {
+        if (::poll(&item, 1, pollIntervalMs) <= 0) {
+            continue;
+        }
+        const auto rest = std::string_view(step.text).substr(position);
+        const auto size = ::send(fd, rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (size < 0 && errno != EAGAIN) {
+            ++m_closedStreams;
+            return;
+        }
+        position += size < 0 ? 0 : static_cast<std::size_t>(size);
+        position %= step.text.size();
+        if (step.action == RawAction::Trickle) {
+            ::usleep(tricklePauseMicroseconds);
+        }
+    }
+}
+
 auto RawServer::runScript(int fd, const RawScript &script) -> void
 {
     auto byte = char{};
@@ -123,6 +147,8 @@
             }
         } else if (step.action == RawAction::Send) {
             (void)::send(fd, step.text.data(), step.text.size(), MSG_NOSIGNAL);
+        } else if (step.action == RawAction::Stream || step.action == RawAction::Trickle) {
+            stream(fd, step);
         } else if (step.action == RawAction::Pause) {
             ::usleep(pauseMicroseconds);
         } else if (step.action == RawAction::Reset) {
--- a/tests/contract/raw_server.h
+++ b/tests/contract/raw_server.h
@@ -22,13 +22,15 @@
     Pause, ///< waits 10 ms, so that the client reads an earlier response separately
     Reset, ///< closes the connection with RST
     Hold, ///< keeps the connection open until the server stops
+    Stream, ///< sends RawStep::text again and again until the peer closes or the server stops
+    Trickle, ///< as Stream, with a pause of 1 ms after each text
 };
 
 /// One step of the script of a connection.
 struct RawStep
 {
     RawAction action = RawAction::Hold;
-    std::string text; ///< for RawAction::Send
+    std::string text; ///< for RawAction::Send, Stream and Trickle
 };
 
 /// Steps of one connection, in order; the connection is closed after the last.
@@ -48,17 +50,24 @@
     [[nodiscard]] auto address() const -> SocketAddress;
     /// Returns the requests that ReadRequest steps have read.
     [[nodiscard]] auto requests() const -> std::vector<std::string>;
+    /// Returns the number of Stream and Trickle steps that the peer ended by closing.
+    [[nodiscard]] auto closedStreams() const -> int
+    {
+        return m_closedStreams;
+    }
 
 private:
     auto serve() -> void;
     auto runScript(int fd, const RawScript &script) -> void;
     auto readRequest(int fd) -> void;
+    auto stream(int fd, const RawStep &step) -> void;
     auto waitReadable(int fd) const -> bool;
 
     std::vector<RawScript> m_scripts;
     int m_listener = -1;
     std::uint16_t m_port = 0;
     std::atomic<bool> m_stop = false;
+    std::atomic<int> m_closedStreams = 0;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::vector<std::thread> m_connections;
