Relay only what changed in a key table

VMs applied a record up to 0.76 s after it was sent. Change: a relayed record of a table states the ranges that the one before lacks, if that halves its size. A receiver has applied all earlier records, so the result is the stored table, fences included. The datagram has a kind of its own: builds that do not know it drop it and read the store.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -101,6 +101,9 @@
     std::vector<KeyedRecord> records;
     milliseconds age{}; ///< time since the sender read the records
     bool complete = true; ///< false: a record that belongs in the update is too large to be relayed
+    /// A record states only what changed since the one before it. Builds that do not know this form
+    /// drop the datagram and read the store.
+    bool shortened = false;
 
     auto operator==(const TopicUpdate &) const -> bool = default;
 };
--- a/include/figlanding/gateway/fleet_records.h
+++ b/include/figlanding/gateway/fleet_records.h
@@ -4,8 +4,11 @@
 #include "figlanding/gateway/key_controller.h"
 #include "figlanding/gateway/store.h"
 
+#include <map>
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 /// @file
 /// The router's own records in the store: members, the controller's claim, and key ownership.
@@ -32,7 +35,17 @@
     auto operator==(const TableRecord &) const -> bool = default;
 };
 
-using FleetRecord = std::variant<MemberRecord, ControllerClaim, TableRecord>;
+/// The ranges of a table that the previous record of the service lacks. VMs relay it to each other
+/// in place of the whole table; the store has only whole tables.
+struct TableChange
+{
+    ServiceId service;
+    std::vector<OwnedRange> ranges;
+
+    auto operator==(const TableChange &) const -> bool = default;
+};
+
+using FleetRecord = std::variant<MemberRecord, ControllerClaim, TableRecord, TableChange>;
 
 /// A record's key and its encoded value.
 struct EncodedRecord
@@ -51,4 +64,10 @@
 ///     table that does not cover all keys
 [[nodiscard]] auto decodeFleetRecord(const KeyedRecord &record) -> Result<FleetRecord>;
 
+/// Returns a table record as the TableChange from the tables before it, or nothing if @p record is
+/// no table or the change would be little shorter.
+[[nodiscard]] auto asTableChange(const KeyedRecord &record,
+                                 const std::map<ServiceId, OwnershipTable> &tables)
+    -> std::optional<KeyedRecord>;
+
 } // namespace figlanding
--- a/include/figlanding/gateway/key_ownership.h
+++ b/include/figlanding/gateway/key_ownership.h
@@ -74,6 +74,14 @@
 /// Splits ranges so that @p keys begins and ends at range boundaries.
 [[nodiscard]] auto splitAround(const OwnershipTable &table, const KeyRange &keys) -> OwnershipTable;
 
+/// Returns the ranges of @p next that do not occur identically in @p previous.
+[[nodiscard]] auto changedRanges(const OwnershipTable &previous, const OwnershipTable &next)
+    -> std::vector<OwnedRange>;
+/// Returns the table after @p changes, which must be sorted: they replace all ranges that they
+/// overlap. The result is the next table if @p changes are changedRanges() of the two.
+[[nodiscard]] auto withChanges(const OwnershipTable &previous, std::span<const OwnedRange> changes)
+    -> OwnershipTable;
+
 /// A server that may own keys.
 struct OwnerCandidate
 {
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -26,7 +26,8 @@
     Response = 3,
     Release = 4,
     Topic = 5,
-    Work = 6
+    Work = 6,
+    ShortenedTopic = 7
 };
 
 // Rounds to single precision, because CBOR encodes a number in four bytes instead of eight if that
@@ -106,7 +107,7 @@
         }
         records.push_back(std::move(row));
     }
-    return {static_cast<int>(Kind::Topic),
+    return {static_cast<int>(message.shortened ? Kind::ShortenedTopic : Kind::Topic),
             message.topic,
             message.from,
             message.next,
@@ -193,7 +194,9 @@
                                .from = fields.at(2).get<LogOffset>(),
                                .next = fields.at(3).get<LogOffset>(),
                                .age = milliseconds(fields.at(6).get<std::int64_t>()),
-                               .complete = fields.at(5).get<bool>()};
+                               .complete = fields.at(5).get<bool>(),
+                               .shortened = static_cast<Kind>(fields.at(0).get<int>())
+                                   == Kind::ShortenedTopic};
     for (const auto &row : fields.at(4)) {
         auto record = KeyedRecord{.offset = message.from + row.at(0).get<LogOffset>(),
                                   .key = row.at(1).get<std::string>()};
@@ -218,6 +221,7 @@
     case Kind::Release:
         return FleetPayload(decodeRelease(fields));
     case Kind::Topic:
+    case Kind::ShortenedTopic:
         return FleetPayload(decodeTopicUpdate(fields));
     case Kind::Work:
         return FleetPayload(decodeWorkReport(fields));
--- a/src/core/gateway/fleet_records.cpp
+++ b/src/core/gateway/fleet_records.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::string_view memberPrefix = "member/";
 constexpr std::string_view tablePrefix = "table/";
+constexpr std::string_view changePrefix = "change/";
 constexpr std::string_view claimKey = "claim";
 
 auto toBytes(const json &value) -> std::string
@@ -35,26 +36,44 @@
             .value = toBytes({claim.term, claim.vm.value(), claim.incarnation})};
 }
 
-auto encode(const TableRecord &record) -> EncodedRecord
+auto toRows(const std::vector<OwnedRange> &ranges) -> json
 {
     auto rows = json::array();
-    for (const auto &range : record.table.ranges) {
+    for (const auto &range : ranges) {
         rows.push_back({range.keys.from, range.keys.to, range.owner.server.value(),
                         range.owner.startedUnixMs, range.fence, range.handOver});
     }
-    return {.key = std::string(tablePrefix) + record.service.value(), .value = toBytes(rows)};
+    return rows;
 }
 
-auto decodeTable(const ServiceId &service, const json &rows) -> Result<FleetRecord>
+auto encode(const TableRecord &record) -> EncodedRecord
+{
+    return {.key = std::string(tablePrefix) + record.service.value(),
+            .value = toBytes(toRows(record.table.ranges))};
+}
+
+auto encode(const TableChange &change) -> EncodedRecord
 {
-    auto table = OwnershipTable{};
+    return {.key = std::string(changePrefix) + change.service.value(),
+            .value = toBytes(toRows(change.ranges))};
+}
+
+auto rangesOf(const json &rows) -> std::vector<OwnedRange>
+{
+    auto ranges = std::vector<OwnedRange>{};
     for (const auto &row : rows) {
-        table.ranges.push_back({.keys = {row.at(0).get<ShardKey>(), row.at(1).get<ShardKey>()},
-                                .owner = {.server = BackendServerId(row.at(2).get<std::string>()),
-                                          .startedUnixMs = row.at(3).get<std::int64_t>()},
-                                .fence = row.at(4).get<FencingToken>(),
-                                .handOver = row.at(5).get<std::string>()});
+        ranges.push_back({.keys = {row.at(0).get<ShardKey>(), row.at(1).get<ShardKey>()},
+                          .owner = {.server = BackendServerId(row.at(2).get<std::string>()),
+                                    .startedUnixMs = row.at(3).get<std::int64_t>()},
+                          .fence = row.at(4).get<FencingToken>(),
+                          .handOver = row.at(5).get<std::string>()});
     }
+    return ranges;
+}
+
+auto decodeTable(const ServiceId &service, const json &rows) -> Result<FleetRecord>
+{
+    auto table = OwnershipTable{.ranges = rangesOf(rows)};
     if (!isComplete(table)) {
         return fail(ErrorCode::InvalidValue,
                     "ownership table of service " + service.value() + " does not cover all keys");
@@ -87,6 +106,11 @@
         if (record.key.starts_with(tablePrefix)) {
             return decodeTable(ServiceId(record.key.substr(tablePrefix.size())), value);
         }
+        if (record.key.starts_with(changePrefix)) {
+            return FleetRecord(
+                TableChange{.service = ServiceId(record.key.substr(changePrefix.size())),
+                            .ranges = rangesOf(value)});
+        }
     } catch (const json::exception &error) {
         return fail(ErrorCode::InvalidValue,
                     "malformed record " + record.key + ": " + error.what());
@@ -94,4 +118,26 @@
     return fail(ErrorCode::InvalidValue, "record key " + record.key + " has no known type");
 }
 
+auto asTableChange(const KeyedRecord &record, const std::map<ServiceId, OwnershipTable> &tables)
+    -> std::optional<KeyedRecord>
+{
+    if (!record.value || !record.key.starts_with(tablePrefix)) {
+        return std::nullopt;
+    }
+    const auto previous = tables.find(ServiceId(record.key.substr(tablePrefix.size())));
+    const auto decoded = settle([&] { return decodeFleetRecord(record); });
+    if (previous == tables.end() || !decoded) {
+        return std::nullopt;
+    }
+    const auto &next = std::get<TableRecord>(decoded.value());
+    auto encoded = encode(TableChange{.service = next.service,
+                                      .ranges = changedRanges(previous->second, next.table)});
+    constexpr auto minSaving = std::size_t{2}; // as a factor; a whole table depends on no other
+    if (encoded.value.size() * minSaving > record.value->size()) {
+        return std::nullopt;
+    }
+    return KeyedRecord{
+        .offset = record.offset, .key = std::move(encoded.key), .value = std::move(encoded.value)};
+}
+
 } // namespace figlanding
--- a/src/core/gateway/key_ownership.cpp
+++ b/src/core/gateway/key_ownership.cpp
@@ -243,6 +243,38 @@
     return result;
 }
 
+auto changedRanges(const OwnershipTable &previous, const OwnershipTable &next)
+    -> std::vector<OwnedRange>
+{
+    auto changes = std::vector<OwnedRange>{};
+    for (const auto &range : next.ranges) {
+        const auto *before = findRange(previous, range.keys.from);
+        if (before == nullptr || *before != range) {
+            changes.push_back(range);
+        }
+    }
+    return changes;
+}
+
+auto withChanges(const OwnershipTable &previous, std::span<const OwnedRange> changes)
+    -> OwnershipTable
+{
+    auto result = OwnershipTable{};
+    auto change = changes.begin();
+    for (const auto &range : previous.ranges) {
+        for (; change != changes.end() && change->keys.from <= range.keys.to; ++change) {
+            result.ranges.push_back(*change);
+        }
+        // Changes begin in ascending order, so the last added range is the only one that can
+        // overlap.
+        if (result.ranges.empty() || result.ranges.back().keys.to < range.keys.from) {
+            result.ranges.push_back(range);
+        }
+    }
+    result.ranges.insert(result.ranges.end(), change, changes.end());
+    return result;
+}
+
 auto withMove(OwnershipTable table, const PlannedMove &move) -> OwnershipTable
 {
     table = splitAround(table, move.keys);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -120,15 +120,16 @@
                   "servers", m_storeView.serversOutage(),
                   [this](const auto &record) { return m_storeView.onServerRecord(record); },
                   [this](const auto &records) { m_storeView.onServerSnapshot(records); }))
-        , m_fleetFollower(
-              loop, m_store, {.topic = Platform::fleetTopic, .wait = milliseconds(2000)},
-              followerHandlers(
-                  "fleet", m_fleetOutage,
-                  [this](const auto &record) {
-                      m_storeView.onFleetRecord(record);
-                      return true;
-                  },
-                  [this](const auto &records) { m_storeView.onFleetSnapshot(records); }))
+        , m_fleetFollower(loop, m_store,
+                          {.topic = Platform::fleetTopic, .wait = milliseconds(2000)},
+                          followerHandlers(
+                              "fleet", m_fleetOutage,
+                              [this](const auto &record) {
+                                  m_storeView.onFleetRecord(record);
+                                  return true;
+                              },
+                              [this](const auto &records) { m_storeView.onFleetSnapshot(records); },
+                              [this](const auto &record) { return m_storeView.shortened(record); }))
         , m_tickTimer(loop, [this] { tick(); })
         , m_heartbeatTimer(loop, [this] { sendHeartbeat(); })
         , m_workReportTimer(loop, [this] { sendWorkReport(); })
@@ -229,12 +230,16 @@
     }
 
     template <typename OnRecord, typename OnSnapshot>
-    auto followerHandlers(const char *name, Outage &topicOutage, OnRecord onRecord,
-                          OnSnapshot onSnapshot) -> TopicFollowerHandlers
+    auto
+    followerHandlers(const char *name, Outage &topicOutage, OnRecord onRecord,
+                     OnSnapshot onSnapshot,
+                     std::function<std::optional<KeyedRecord>(const KeyedRecord &)> shorten = {})
+        -> TopicFollowerHandlers
     {
         return {
             .onSnapshot = std::move(onSnapshot),
             .onRecord = std::move(onRecord),
+            .shorten = std::move(shorten),
             .onRead =
                 [this, name, &topicOutage](TimePoint sentAt, LogOffset end) {
                     if (const auto since = std::exchange(topicOutage.since, std::nullopt)) {
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -192,6 +192,13 @@
         m_handlers.onOwnership(m_ownership);
     }
 
+    /// Returns a table record as the change from the current table, or nothing if that is no
+    /// shorter.
+    [[nodiscard]] auto shortened(const KeyedRecord &record) const -> std::optional<KeyedRecord>
+    {
+        return asTableChange(record, m_ownership.tables);
+    }
+
     /// Returns the owner of a key; empty if the key has no owner.
     [[nodiscard]] auto ownerOf(const ServiceId &service, ShardKey key) const -> ServerIncarnation
     {
@@ -240,10 +247,25 @@
             m_ownership.claim = *claim;
         } else if (const auto *table = std::get_if<TableRecord>(&decoded.value())) {
             m_ownership.tables[table->service] = table->table;
+        } else if (const auto *change = std::get_if<TableChange>(&decoded.value())) {
+            applyChange(*change);
         }
         m_ownership.end = std::max(m_ownership.end, record.offset + 1);
     }
 
+    // Relayed changes follow all earlier records, so that the table before them is known.
+    auto applyChange(const TableChange &change) -> void
+    {
+        auto &table = m_ownership.tables[change.service];
+        auto next = withChanges(table, change.ranges);
+        if (!isComplete(next)) {
+            logEvent(LogLevel::Error, "table-change-unusable",
+                     {{"service", change.service.value()}, {"ranges", change.ranges.size()}});
+            return;
+        }
+        table = std::move(next);
+    }
+
     /// Grace period before a server is removed after an outage of the store. Entries that expired
     /// during the outage are renewed within two seconds.
     static constexpr milliseconds removalGrace{2300};
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +36,9 @@
     std::function<void(const std::vector<KeyedRecord> &)> onSnapshot;
     /// Applies a record. Returns whether it changed anything; other records are not relayed.
     std::function<bool(const KeyedRecord &)> onRecord;
+    /// Returns a shorter record with the same effect on a receiver that has applied all earlier
+    /// ones, or nothing. Called before onRecord. May be empty.
+    std::function<std::optional<KeyedRecord>(const KeyedRecord &)> shorten;
     /// Called after each successful read that reached the end of the topic.
     /// @param sentAt when the read was sent
     /// @param end offset after the last record
@@ -219,10 +223,12 @@
                 continue; // was relayed by another VM in the meantime
             }
             m_nextOffset = record.offset + 1;
+            const auto shorter = m_handlers.shorten ? m_handlers.shorten(record) : std::nullopt;
             if (!m_handlers.onRecord(record)) {
                 continue;
             }
-            const auto size = record.key.size() + record.value.value_or("").size();
+            const auto &relayed = shorter ? *shorter : record;
+            const auto size = relayed.key.size() + relayed.value.value_or("").size();
             if (bytes > 0 && bytes + size > maxRelayBytes) {
                 m_handlers.relay(batch);
                 batch = {
@@ -232,7 +238,8 @@
             if (size > maxRecordBytes) {
                 batch.complete = false;
             } else {
-                batch.records.push_back(record);
+                batch.records.push_back(relayed);
+                batch.shortened = batch.shortened || shorter.has_value();
             }
             bytes += size;
             batch.next = record.offset + 1;
