Do not send a request to a server that lost its key while the request waited

Cause: the owner of a key is looked up before the request waits for a slot. If the key moved while it waited, it was sent to the earlier owner all the same. Change: the owner is looked up again when the slot is granted. If it is another server, the slot is given back and the request asks for one at the new owner, without an attempt or a retry.

--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -199,6 +199,12 @@
             dispatchLater(active, now);
             return;
         }
+        if (keyHasMoved(active, incarnation.server)) {
+            m_slots.release(number, {.end = SlotEnd::Abandoned}, now);
+            active.stage = Stage::Idle;
+            active.dispatchAt = now;
+            return;
+        }
         active.stage = Stage::AwaitingResponse;
         active.server = incarnation;
         active.sentAt = now;
@@ -225,6 +231,14 @@
             });
     }
 
+    // Returns whether the request's key got another owner while the request waited for a slot.
+    [[nodiscard]] auto keyHasMoved(const ActiveRequest &active, const BackendServerId &server) const
+        -> bool
+    {
+        return hasKeyedService(active)
+            && m_handlers.owner(active.service, *active.caller.key).server != server;
+    }
+
     auto onOutcome(std::uint64_t number, HttpOutcome outcome) -> void
     {
         auto &active = m_requests.at(number);
