Bound the memory that the answers of all servers take together

What callers saw: nothing yet; found by a test of answers without end. An answer could grow to 64 MiB, and each of many at the same time, on VMs of 160 MB to 512 MB. A VM that runs out of memory loses all its requests.

Cause: the only limit was one of 64 MiB for each answer. Besides, the client keeps up to 256 transfers for reuse, and each kept the body of an answer that had failed or was cancelled until its next call.

Change: an answer may have 16 MiB, all unfinished ones of a client 48 MiB. ResponseBudget lets an answer take as much as is left free after it, so answers without end are cut off and whole answers beside them are served. Transfers free what they received when the call ends.

Evidence: 12 answers without end beside a whole one of 200,000 bytes, with a budget of 3,000,000. Without the budget and the freeing (the code before, with only a counter added) 23,986,176 bytes were held, also after the calls had ended, and 100,000 after a cancelled call; now at most the budget, and none.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -67,6 +67,7 @@
     HttpClientOptions options;
     CURLM *multi;
     ConnectionRegistry registry;
+    ResponseBudget budget;
     ev_timer timer{};
     std::vector<std::unique_ptr<SocketWatcher>> watchers; // indexed by file descriptor
     std::unordered_map<CallId, std::unique_ptr<HttpTransfer>> active;
@@ -106,6 +107,7 @@
     : loop(eventLoop)
     , options(clientOptions)
     , multi(makeMulti())
+    , budget(clientOptions.maxBufferedBytes)
 {
     ev_timer_init(&timer, &Impl::onTimer, 0.0, 0.0);
     timer.data = this;
@@ -174,7 +176,7 @@
         idle.pop_back();
         return transfer;
     }
-    auto transfer = std::make_unique<HttpTransfer>(registry, options);
+    auto transfer = std::make_unique<HttpTransfer>(registry, budget, options);
     curl_easy_setopt(transfer->handle(), CURLOPT_CLOSESOCKETFUNCTION, &Impl::onCloseSocket);
     curl_easy_setopt(transfer->handle(), CURLOPT_CLOSESOCKETDATA, this);
     return transfer;
@@ -183,6 +185,7 @@
 auto HttpClient::Impl::releaseTransfer(std::unique_ptr<HttpTransfer> transfer) -> void
 {
     (void)transfer->takeCallback();
+    transfer->discardResponse();
     if (idle.size() < maxIdleTransfers) {
         idle.push_back(std::move(transfer));
     }
@@ -338,6 +341,11 @@
     return m_impl->active.size() + m_impl->rejected.size();
 }
 
+auto HttpClient::bufferedBytes() const -> std::size_t
+{
+    return m_impl->budget.used();
+}
+
 auto callAndWait(const SocketAddress &address, HttpRequest request, const HttpCallOptions &options)
     -> HttpOutcome
 {
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -55,7 +55,11 @@
     /// call. libcurl limits a single line to 100 KiB before this limit sees it. Servers that answer
     /// properly stay within 16 KiB, as the heads of requests do.
     std::size_t maxHeadBytes = std::size_t{64} * 1024;
-    std::size_t maxBodyBytes = std::size_t{64} * 1024 * 1024; ///< a larger body fails the call
+    /// A larger body fails the call. The largest answers known have a few MB.
+    std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
+    /// Limit for the bodies of all unfinished responses together, shared as ResponseBudget states.
+    /// The smallest VMs have 160 MB.
+    std::size_t maxBufferedBytes = std::size_t{48} * 1024 * 1024;
     milliseconds tcpUserTimeout{5000}; ///< TCP_USER_TIMEOUT: closes if data stays unacknowledged
     /// Accepts responses whose body is delimited by the end of the connection. A connection reset
     /// still fails the call.
@@ -86,6 +90,8 @@
     auto cancel(CallId id) -> void;
     /// Returns the number of calls that have not ended.
     [[nodiscard]] auto pending() const -> std::size_t;
+    /// Returns the bytes held for bodies of unfinished responses.
+    [[nodiscard]] auto bufferedBytes() const -> std::size_t;
 
 private:
     struct Impl;
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -72,8 +72,10 @@
 
 } // namespace
 
-HttpTransfer::HttpTransfer(ConnectionRegistry &registry, const HttpClientOptions &options)
+HttpTransfer::HttpTransfer(ConnectionRegistry &registry, ResponseBudget &budget,
+                           const HttpClientOptions &options)
     : m_registry(registry)
+    , m_budget(budget)
     , m_maxHeadBytes(options.maxHeadBytes)
     , m_maxBodyBytes(options.maxBodyBytes)
     , m_tcpUserTimeout(options.tcpUserTimeout)
@@ -133,7 +135,7 @@
     m_options = options;
     m_start = MonotonicClock::now();
     m_request = std::move(request);
-    m_response = HttpResponse{.status = 0, .headers = {}, .body = {}};
+    discardResponse();
     m_headBytes = 0;
     m_bodyBytesReceived = 0;
     m_responseError.reset();
@@ -218,6 +220,12 @@
     return std::exchange(m_callback, nullptr);
 }
 
+auto HttpTransfer::discardResponse() -> void
+{
+    m_budget.release(m_response.body.size());
+    m_response = HttpResponse{.status = 0, .headers = {}, .body = {}};
+}
+
 auto HttpTransfer::bytesSent() const -> curl_off_t
 {
     auto requestBytes = 0L;
@@ -308,6 +316,11 @@
         m_responseError = tooLarge("body", m_maxBodyBytes);
         return false;
     }
+    if (!m_budget.take(m_response.body.size(), data.size())) {
+        m_responseError = Error{.code = ErrorCode::LimitExceeded,
+                                .detail = "no memory left for the body of the answer"};
+        return false;
+    }
     m_response.body.append(data);
     return true;
 }
@@ -411,7 +424,8 @@
         return outcome;
     }
     outcome.verdict = Verdict::Ran;
-    outcome.response = std::move(m_response);
+    m_budget.release(m_response.body.size());
+    outcome.response = std::exchange(m_response, {});
     return outcome;
 }
 
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -2,6 +2,7 @@
 
 #include "io/connection_registry.h"
 #include "io/http_client.h"
+#include "io/response_budget.h"
 
 #include <curl/curl.h>
 
@@ -23,8 +24,10 @@
 {
 public:
     /// @param registry open connections of the client; must outlive the transfer
+    /// @param budget memory for the responses of the client; must outlive the transfer
     /// @param options options of the client
-    HttpTransfer(ConnectionRegistry &registry, const HttpClientOptions &options);
+    HttpTransfer(ConnectionRegistry &registry, ResponseBudget &budget,
+                 const HttpClientOptions &options);
     ~HttpTransfer();
     HttpTransfer(const HttpTransfer &) = delete;
     auto operator=(const HttpTransfer &) -> HttpTransfer & = delete;
@@ -50,6 +53,8 @@
         return m_id;
     }
     [[nodiscard]] auto takeCallback() -> HttpClient::Callback;
+    /// Frees what was received and not moved out.
+    auto discardResponse() -> void;
 
 private:
     auto setFixedOptions() -> void;
@@ -80,6 +85,7 @@
     static auto onSocketOptions(void *self, curl_socket_t fd, curlsocktype purpose) -> int;
 
     ConnectionRegistry &m_registry;
+    ResponseBudget &m_budget;
     std::size_t m_maxHeadBytes;
     std::size_t m_maxBodyBytes;
     milliseconds m_tcpUserTimeout;
--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace figlanding;
 using namespace figlanding::testing;
 
@@ -394,3 +396,67 @@
         }
     }
 }
+
+TEST_CASE("endless answers together stay within the client's memory budget")
+{
+    constexpr auto calls = 12;
+    constexpr auto budget = std::size_t{3'000'000};
+    const auto body = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const auto chunk = "4000\r\n" + std::string(0x4000, 'a') + "\r\n";
+    const auto endless =
+        RawScript{read(), send(body), {.action = RawAction::Trickle, .text = chunk}};
+    auto server = RawServer(std::vector<RawScript>(calls, endless));
+    const auto content = std::string(200'000, 'b');
+    auto healthy =
+        RawServer({{read(), send("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + content),
+                    step(RawAction::Hold)}});
+    auto loop = EventLoop();
+    auto client = HttpClient(loop, {.maxBodyBytes = 2'000'000, .maxBufferedBytes = budget});
+    auto failed = 0;
+    auto peak = std::size_t{0};
+    for (auto i = 0; i < calls; ++i) {
+        client.call(server.address(), post("b"), {.timeout = milliseconds(10'000)},
+                    [&](const HttpOutcome &outcome) {
+                        CHECK(outcome.verdict == Verdict::MayHaveRun);
+                        CHECK(message(outcome.error.code) == message(ErrorCode::LimitExceeded));
+                        ++failed;
+                    });
+    }
+    auto whole = HttpOutcome{};
+    client.call(healthy.address(), post("b"), {.timeout = milliseconds(10'000)},
+                [&](HttpOutcome outcome) { whole = std::move(outcome); });
+    auto timer = Timer(loop, [&] {
+        peak = std::max(peak, client.bufferedBytes());
+        if (client.pending() == 0) {
+            loop.stop();
+        }
+    });
+    timer.startRepeating(milliseconds(1));
+    loop.run();
+    CHECK(failed == calls);
+    CHECK(whole.verdict == Verdict::Ran);
+    CHECK(whole.response.body == content);
+    CHECK(peak > budget / 2);
+    CHECK(peak <= budget);
+    CHECK(client.bufferedBytes() == 0);
+}
+
+TEST_CASE("a cancelled call frees what it had received")
+{
+    const auto head = std::string("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
+    auto server =
+        RawServer({{read(), send(head + std::string(100'000, 'a')), step(RawAction::Hold)}});
+    auto loop = EventLoop();
+    auto client = HttpClient(loop, {});
+    const auto id = client.call(server.address(), post("b"), {.timeout = milliseconds(10'000)},
+                                [](const HttpOutcome &) {});
+    auto timer = Timer(loop, [&] {
+        if (client.bufferedBytes() == 100'000) {
+            loop.stop();
+        }
+    });
+    timer.startRepeating(milliseconds(1));
+    loop.run();
+    client.cancel(id);
+    CHECK(client.bufferedBytes() == 0);
+}
