Name the process and the attempt in the ticket of a slot

What callers saw: a lesson-lookup was run by a server of another service (ROUTE), at a VM that had just started anew.

Cause: a ticket was a VM and a number. Numbers began at 1 in each process, and each attempt of a request used the same number again. So the VM that allocates slots took the acquire of a new process for a repetition and answered with the slot of the earlier one, of whatever service; responses and releases were mixed up the same way.

Change: a ticket is VM, process and a number that no acquire shares. A response names the process that it answers; others ignore it. When a VM first sees a process of another VM, it withdraws the queued tickets of the earlier ones. Slots that they hold are kept until they expire, because not every server drops a request whose connection closes. Processes carry no order, so a late acquire of an earlier process is accepted as a ticket of its own and holds a slot until expiry at most.

--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -23,11 +23,12 @@
 
 namespace figlanding {
 
-/// Identifies a slot request, unique across all VMs.
+/// Identifies a slot request, unique across all VMs and the successive processes of each.
 struct TicketId
 {
     VmId vm;
-    std::uint64_t number = 0; ///< unique within one run of the VM's process
+    std::string process; ///< incarnation of the VM's process
+    std::uint64_t number = 0; ///< unique within the process; an attempt never reuses one
 
     auto operator<=>(const TicketId &) const = default;
 };
@@ -49,7 +50,6 @@
 struct SlotRequest
 {
     TicketId id;
-    std::string process; ///< incarnation of the requesting VM's process
     ServiceId service;
     BackendServerId owner; ///< the only server that may run it; empty: any server of the service
     std::vector<BackendServerId> excluded; ///< servers on which an earlier attempt failed
@@ -82,14 +82,12 @@
 struct SlotDecision
 {
     TicketId id;
-    std::string process; ///< that requested the slot
     std::variant<SlotGrant, SlotRefusal> outcome;
 };
 
 /// A ticket that waits for a slot or holds one.
 struct KnownTicket
 {
-    std::string process; ///< incarnation of the process that requested it
     ServiceId service;
     BackendServerId owner; ///< empty: any server of the service
     bool granted = false;
@@ -166,6 +164,9 @@
     auto acquire(const SlotRequest &request, TimePoint now) -> void;
     /// Releases the slot of a ticket, or removes the ticket from the queue.
     auto release(const TicketId &id, const SlotResult &result, TimePoint now) -> void;
+    /// Removes the queued tickets of a VM's processes other than @p process. Slots that they hold
+    /// are kept until they expire: their requests may still run at the servers.
+    auto withdrawOthers(const VmId &vm, const std::string &process) -> void;
     /// Refuses requests that can no longer be served in time, and reclaims slots that their VM did
     /// not release.
     auto tick(TimePoint now) -> void;
@@ -218,7 +219,6 @@
     };
     struct ActiveGrant
     {
-        std::string process;
         ServiceId service;
         BackendServerId owner;
         ServerIncarnation incarnation;
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -52,9 +52,8 @@
 auto SlotBroker::acquire(const SlotRequest &request, TimePoint now) -> void
 {
     if (const auto granted = m_activeGrants.find(request.id); granted != m_activeGrants.end()) {
-        m_decisions.push_back({.id = request.id,
-                               .process = granted->second.process,
-                               .outcome = SlotGrant{granted->second.incarnation}});
+        m_decisions.push_back(
+            {.id = request.id, .outcome = SlotGrant{granted->second.incarnation}});
         return;
     }
     if (isWaiting(request.id)) {
@@ -91,6 +90,18 @@
     dispatch(m_groups[granted.mapped().service], now);
 }
 
+auto SlotBroker::withdrawOthers(const VmId &vm, const std::string &process) -> void
+{
+    const auto isEarlier = [&](const TicketId &id) { return id.vm == vm && id.process != process; };
+    if (std::erase_if(m_waiting, [&](const auto &item) { return isEarlier(item.first); }) == 0) {
+        return;
+    }
+    for (auto &[service, group] : m_groups) {
+        std::erase_if(group.waiting,
+                      [&](const SlotRequest &request) { return isEarlier(request.id); });
+    }
+}
+
 auto SlotBroker::findServer(const ActiveGrant &granted) -> Server *
 {
     auto &servers = m_groups[granted.service].servers;
@@ -382,15 +393,12 @@
         failures.probes += zone == request.zone ? 1 : 0;
     }
     server.grants.push_back(now);
-    m_activeGrants[request.id] = {.process = request.process,
-                                  .service = request.service,
+    m_activeGrants[request.id] = {.service = request.service,
                                   .owner = request.owner,
                                   .incarnation = server.info.incarnation,
                                   .zone = request.zone,
                                   .expiresAt = request.deadline + m_options.ticketGrace};
-    m_decisions.push_back({.id = request.id,
-                           .process = request.process,
-                           .outcome = SlotGrant{server.info.incarnation}});
+    m_decisions.push_back({.id = request.id, .outcome = SlotGrant{server.info.incarnation}});
 }
 
 auto SlotBroker::refuse(const SlotRequest &request, Duration retryAfter) -> void
@@ -400,7 +408,6 @@
     const auto base = std::max<Duration>(retryAfter, minRetryAfter);
     m_decisions.push_back(
         {.id = request.id,
-         .process = request.process,
          .outcome = SlotRefusal{fromMilliseconds(toMilliseconds(base) * spread(m_random))}});
 }
 
@@ -471,10 +478,7 @@
 {
     if (const auto granted = m_activeGrants.find(id); granted != m_activeGrants.end()) {
         const auto &grant = granted->second;
-        return KnownTicket{.process = grant.process,
-                           .service = grant.service,
-                           .owner = grant.owner,
-                           .granted = true};
+        return KnownTicket{.service = grant.service, .owner = grant.owner, .granted = true};
     }
     const auto waiting = m_waiting.find(id);
     if (waiting == m_waiting.end()) {
@@ -482,8 +486,7 @@
     }
     for (const auto &request : m_groups.at(waiting->second).waiting) {
         if (request.id == id) {
-            return KnownTicket{
-                .process = request.process, .service = request.service, .owner = request.owner};
+            return KnownTicket{.service = request.service, .owner = request.owner};
         }
     }
     return std::nullopt;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -292,6 +292,7 @@
                                   .lastMessageAt = now,
                                   .leaving = heartbeat->leaving,
                                   .capacity = heartbeat->capacity});
+            m_slots.onProcess(message.from, message.incarnation);
             m_limits.report(message.from, message.incarnation, heartbeat->usageByTeam, now);
             for (auto *follower : followers()) {
                 const auto end = heartbeat->topicEnds.find(follower->topic());
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -20,11 +20,10 @@
     return ServiceId(service.value() + "#" + std::to_string(group));
 }
 
-// Returns whether a message about a known ticket may be about another request.
+// Returns whether an acquire of a known ticket asks for other servers.
 auto differs(const KnownTicket &known, const KnownTicket &named) -> bool
 {
-    return known.process != named.process || known.service != named.service
-        || known.owner != named.owner;
+    return known.service != named.service || known.owner != named.owner;
 }
 
 } // namespace
@@ -34,8 +33,6 @@
     switch (kind) {
     case TicketConflictKind::Acquire:
         return "acquire";
-    case TicketConflictKind::Release:
-        return "release";
     case TicketConflictKind::Response:
         return "response";
     }
@@ -114,12 +111,13 @@
 auto SlotClient::acquire(SlotRequest request, TimePoint now) -> void
 {
     request.service = pickGroup(request);
-    request.id.vm = m_options.self;
-    request.process = m_options.process;
     request.zone = m_options.zone;
-    const auto number = request.id.number;
+    const auto requestNumber = request.id.number;
+    const auto number = m_nextTicket++;
+    request.id = {.vm = m_options.self, .process = m_options.process, .number = number};
+    m_ticketNumbers[requestNumber] = number;
     auto &ticket = m_tickets[number];
-    ticket = {.request = std::move(request), .lastResponseAt = now};
+    ticket = {.request = std::move(request), .requestNumber = requestNumber, .lastResponseAt = now};
     ticket.responsibleVm = findResponsibleVm(ticket.request.service, now);
     sendAcquire(number, ticket, now);
 }
@@ -165,13 +163,14 @@
     m_fallbackBroker.acquire(ticket.request, now);
 }
 
-auto SlotClient::release(std::uint64_t ticket, const SlotResult &result, TimePoint now) -> void
+auto SlotClient::release(std::uint64_t request, const SlotResult &result, TimePoint now) -> void
 {
-    const auto entry = m_tickets.extract(ticket);
-    if (entry.empty()) {
+    const auto number = m_ticketNumbers.extract(request);
+    if (number.empty()) {
         return;
     }
-    const auto id = TicketId{.vm = m_options.self, .number = ticket};
+    const auto entry = m_tickets.extract(number.mapped());
+    const auto &id = entry.mapped().request.id;
     if (entry.mapped().decidedLocally) {
         m_fallbackBroker.release(id, result, now);
         deliver(m_fallbackBroker);
@@ -180,7 +179,7 @@
         deliver(m_broker);
     } else {
         m_handlers.send(entry.mapped().responsibleVm,
-                        SlotRelease{.ticket = ticket,
+                        SlotRelease{.ticket = id.number,
                                     .end = result.end,
                                     .elapsed = toMs(result.elapsed),
                                     .load = result.load});
@@ -195,7 +194,7 @@
             continue;
         }
         auto response = SlotResponse{.ticket = decision.id.number};
-        response.process = decision.process;
+        response.process = decision.id.process;
         if (const auto *grant = std::get_if<SlotGrant>(&decision.outcome)) {
             response.state = SlotState::Granted;
             response.server = grant->server;
@@ -214,20 +213,37 @@
     if (found == m_tickets.end() || found->second.granted) {
         return;
     }
+    const auto requestNumber = found->second.requestNumber;
     if (std::holds_alternative<SlotGrant>(outcome)) {
         found->second.granted = true;
     } else {
+        m_ticketNumbers.erase(requestNumber);
         m_tickets.erase(found);
     }
-    m_handlers.onDecision(number, outcome);
+    m_handlers.onDecision(requestNumber, outcome);
+}
+
+auto SlotClient::onProcess(const VmId &vm, const std::string &process) -> void
+{
+    constexpr auto maxRemembered = std::size_t{8};
+    auto &seen = m_processes[vm];
+    if (std::find(seen.begin(), seen.end(), process) != seen.end()) {
+        return;
+    }
+    seen.push_back(process);
+    if (seen.size() > maxRemembered) {
+        seen.pop_front();
+    }
+    m_broker.withdrawOthers(vm, process);
 }
 
 auto SlotClient::onMessage(const FleetMessage &message, TimePoint now) -> void
 {
+    onProcess(message.from, message.incarnation);
     if (const auto *acquire = std::get_if<SlotAcquire>(&message.payload)) {
         onAcquire(message, *acquire, now);
     } else if (const auto *response = std::get_if<SlotResponse>(&message.payload)) {
-        onResponse(message.from, *response, now);
+        onResponse(message, *response, now);
     } else if (const auto *release = std::get_if<SlotRelease>(&message.payload)) {
         onRelease(message, *release, now);
     }
@@ -236,20 +252,19 @@
 auto SlotClient::onAcquire(const FleetMessage &message, const SlotAcquire &acquire, TimePoint now)
     -> void
 {
-    const auto id = TicketId{.vm = message.from, .number = acquire.ticket};
+    const auto id =
+        TicketId{.vm = message.from, .process = message.incarnation, .number = acquire.ticket};
     if (const auto known = m_broker.find(id)) {
-        const auto named = KnownTicket{
-            .process = message.incarnation, .service = acquire.service, .owner = acquire.owner};
+        const auto named = KnownTicket{.service = acquire.service, .owner = acquire.owner};
         if (differs(*known, named)) {
             m_handlers.onConflict({.kind = TicketConflictKind::Acquire,
                                    .from = message.from,
-                                   .number = acquire.ticket,
+                                   .id = id,
                                    .known = *known,
                                    .named = named});
         }
     }
     m_broker.acquire({.id = id,
-                      .process = message.incarnation,
                       .service = acquire.service,
                       .owner = acquire.owner,
                       .excluded = acquire.excluded,
@@ -270,22 +285,25 @@
 auto SlotClient::onRelease(const FleetMessage &message, const SlotRelease &release, TimePoint now)
     -> void
 {
-    const auto id = TicketId{.vm = message.from, .number = release.ticket};
-    const auto known = m_broker.find(id);
-    if (known && known->process != message.incarnation) {
-        m_handlers.onConflict({.kind = TicketConflictKind::Release,
-                               .from = message.from,
-                               .number = release.ticket,
-                               .known = *known,
-                               .named = {.process = message.incarnation}});
-    }
-    m_broker.release(id, {.end = release.end, .elapsed = release.elapsed, .load = release.load},
-                     now);
+    m_broker.release({.vm = message.from, .process = message.incarnation, .number = release.ticket},
+                     {.end = release.end, .elapsed = release.elapsed, .load = release.load}, now);
     deliver(m_broker);
 }
 
-auto SlotClient::onResponse(const VmId &from, const SlotResponse &response, TimePoint now) -> void
+auto SlotClient::onResponse(const FleetMessage &message, const SlotResponse &response,
+                            TimePoint now) -> void
 {
+    const auto &from = message.from;
+    // VMs of earlier releases do not name the process that they respond to.
+    if (!response.process.empty() && response.process != m_options.process) {
+        m_handlers.onConflict(
+            {.kind = TicketConflictKind::Response,
+             .from = from,
+             .id = {.vm = m_options.self, .process = response.process, .number = response.ticket},
+             .named = {.owner = response.server.server,
+                       .granted = response.state == SlotState::Granted}});
+        return;
+    }
     const auto found = m_tickets.find(response.ticket);
     const auto expected = found != m_tickets.end() && !found->second.granted
         && !found->second.decidedLocally && found->second.responsibleVm == from;
@@ -297,18 +315,6 @@
         }
         return;
     }
-    if (!response.process.empty() && response.process != m_options.process) {
-        const auto &request = found->second.request;
-        m_handlers.onConflict({.kind = TicketConflictKind::Response,
-                               .from = from,
-                               .number = response.ticket,
-                               .known = {.process = request.process,
-                                         .service = request.service,
-                                         .owner = request.owner},
-                               .named = {.process = response.process,
-                                         .owner = response.server.server,
-                                         .granted = response.state == SlotState::Granted}});
-    }
     found->second.lastResponseAt = now;
     m_avoidedUntil.erase(from);
     if (response.state == SlotState::Granted) {
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -5,6 +5,7 @@
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/slot_broker.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -32,23 +33,22 @@
     milliseconds avoidFor{1500}; ///< a replaced VM gets no requests for this long
 };
 
-/// What a message about a ticket does not agree with.
+/// How a message about a ticket does not agree with the ticket.
 enum class TicketConflictKind {
-    Acquire, ///< a known ticket is requested by another process or for other servers
-    Release, ///< a ticket of another process is released
-    Response, ///< the response to another process is taken for one to this process
+    Acquire, ///< a known ticket is requested for other servers
+    Response, ///< the response is to an earlier process of this VM, and ignored
 };
 
-/// Returns "acquire", "release" or "response".
+/// Returns "acquire" or "response".
 [[nodiscard]] auto toText(TicketConflictKind kind) -> std::string_view;
 
-/// A message that names a ticket of another request.
+/// A message that does not agree with its ticket.
 struct TicketConflict
 {
     TicketConflictKind kind = TicketConflictKind::Acquire;
     VmId from; ///< sender of the message
-    std::uint64_t number = 0; ///< of the ticket
-    KnownTicket known; ///< the ticket that the message acts on
+    TicketId id;
+    KnownTicket known; ///< the ticket as it is known; empty for a response
     KnownTicket named; ///< what the message is about, as far as it says so
 
     auto operator==(const TicketConflict &) const -> bool = default;
@@ -59,10 +59,10 @@
 {
     /// Sends a message to another VM.
     std::function<void(const VmId &, const FleetPayload &)> send;
-    /// Called with the decision on a ticket.
-    std::function<void(std::uint64_t ticket, const std::variant<SlotGrant, SlotRefusal> &)>
+    /// Called with the decision on a request for a slot.
+    std::function<void(std::uint64_t request, const std::variant<SlotGrant, SlotRefusal> &)>
         onDecision;
-    /// Called for a message that names a ticket of another request.
+    /// Called for a message that does not agree with its ticket.
     std::function<void(const TicketConflict &)> onConflict;
 };
 
@@ -78,10 +78,15 @@
     auto setServers(const ServerRegistry &registry, const std::map<ServiceId, double> &coldRates)
         -> void;
     /// Requests a slot. The decision may be delivered before this returns.
-    /// @param request the number of its id identifies the ticket; service and zone are filled in
+    /// @param request the number of its id is the caller's and may be used again after release();
+    /// the ticket's number, service and zone are filled in
     auto acquire(SlotRequest request, TimePoint now) -> void;
-    /// Releases the slot of a ticket, or withdraws its request. Unknown tickets are ignored.
-    auto release(std::uint64_t ticket, const SlotResult &result, TimePoint now) -> void;
+    /// Releases the slot of a request, or withdraws it. Unknown requests are ignored.
+    /// @param request number given to acquire()
+    auto release(std::uint64_t request, const SlotResult &result, TimePoint now) -> void;
+    /// Notes the process of another VM. When it is new, the queued requests of the VM's earlier
+    /// processes are withdrawn, because nobody waits for them.
+    auto onProcess(const VmId &vm, const std::string &process) -> void;
     /// Processes a message of another VM.
     auto onMessage(const FleetMessage &message, TimePoint now) -> void;
     /// Resends unanswered requests, fails over from a VM that does not respond to another one, and
@@ -106,6 +111,7 @@
     struct Ticket
     {
         SlotRequest request; ///< its service is the name of the group
+        std::uint64_t requestNumber = 0; ///< given to acquire()
         VmId responsibleVm;
         bool granted = false;
         bool decidedLocally = false; ///< by the fallback broker, without the responsible VM
@@ -126,7 +132,8 @@
         -> void;
     auto onAcquire(const FleetMessage &message, const SlotAcquire &acquire, TimePoint now) -> void;
     auto onRelease(const FleetMessage &message, const SlotRelease &release, TimePoint now) -> void;
-    auto onResponse(const VmId &from, const SlotResponse &response, TimePoint now) -> void;
+    auto onResponse(const FleetMessage &message, const SlotResponse &response, TimePoint now)
+        -> void;
 
     SlotClientOptions m_options;
     const FleetView &m_view;
@@ -138,7 +145,12 @@
     std::map<ServiceId, std::size_t> m_groupCounts;
     /// VMs that did not respond, although their heartbeats may still arrive.
     std::map<VmId, TimePoint> m_avoidedUntil;
-    std::map<std::uint64_t, Ticket> m_tickets;
+    std::map<std::uint64_t, Ticket> m_tickets; ///< by ticket number
+    std::map<std::uint64_t, std::uint64_t> m_ticketNumbers; ///< by the number given to acquire()
+    std::uint64_t m_nextTicket = 1;
+    /// Last processes seen of each VM. They carry no order: a late message of an earlier process
+    /// must not be taken for a new one.
+    std::map<VmId, std::deque<std::string>> m_processes;
 };
 
 } // namespace figlanding
--- a/src/gateway/slot_log.cpp
+++ b/src/gateway/slot_log.cpp
@@ -14,17 +14,20 @@
 auto SlotLog::add(const TicketConflict &conflict) -> void
 {
     m_metrics.countSlotMismatch(std::string(toText(conflict.kind)));
-    logEvent(LogLevel::Warning, "ticket-conflict",
+    const auto level =
+        conflict.kind == TicketConflictKind::Response ? LogLevel::Info : LogLevel::Error;
+    logEvent(level, "ticket-conflict",
              {{"kind", toText(conflict.kind)},
               {"from", conflict.from.value()},
-              {"ticket", conflict.number},
-              {"process", conflict.named.process},
-              {"known_process", conflict.known.process},
+              {"ticket", conflict.id.number},
+              {"ticket_process", conflict.id.process},
               {"service", conflict.named.service.value()},
               {"known_service", conflict.known.service.value()},
               {"server", conflict.named.owner.value()},
               {"known_server", conflict.known.owner.value()},
-              {"known_granted", conflict.known.granted}});
+              {"granted", conflict.named.granted},
+              {"known_granted", conflict.known.granted},
+              {"process", m_process}});
 }
 
 auto SlotLog::addOtherService(const RequestRecord &record, const ServerEntry &server) -> void
--- a/src/gateway/slot_log.h
+++ b/src/gateway/slot_log.h
@@ -20,7 +20,7 @@
     /// @param process incarnation of this VM's process
     SlotLog(Metrics &metrics, std::string process);
 
-    /// Adds a message that names a ticket of another request.
+    /// Adds a message that does not agree with its ticket.
     auto add(const TicketConflict &conflict) -> void;
     /// Adds a grant of a server that runs another service than the request's.
     auto addOtherService(const RequestRecord &record, const ServerEntry &server) -> void;
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -44,7 +44,7 @@
     /// Counts a refused request.
     auto countRefusal(RefusalReason reason) -> void;
     /// Counts a slot or a ticket that does not belong to the request that uses it.
-    /// @param kind what does not match: "acquire", "release", "response" or "service"
+    /// @param kind what does not match: "acquire", "response" or "service"
     auto countSlotMismatch(const std::string &kind) -> void;
     /// Counts a second or later attempt at a request.
     /// @param cause reason for the retry, such as "not-run" or "hedge"
--- a/tests/contract/slot_identity_test.cpp
+++ b/tests/contract/slot_identity_test.cpp
@@ -172,15 +172,14 @@
     vms.caller().acquire(request(1, lessons, "lessons-1"), start);
     vms.deliver();
     vms.caller().release(1, {.end = SlotEnd::Served}, start);
-    auto late = vms.hold();
-    const auto again = late;
+    const auto late = vms.hold();
     vms.resume(late);
     REQUIRE(vms.broker().granted() == 0);
     vms.restartCaller("c2");
     vms.caller().acquire(request(1, archive), start);
     vms.deliver();
     REQUIRE(vms.decision(1) == "archive-1");
-    vms.resume(again);
+    vms.resume(late);
     CHECK(vms.broker().granted() == 1);
 }
 
