Refuse to send a request to a server of another service

What callers saw: a request was run by a server of another service when the slot that it was granted belonged to another ticket.

Cause: RequestPath took the server of a grant as it came. The id and the start time of the server were compared with the registry, its service was not.

Change: a slot at a server of another service is released as abandoned, the event server-of-other-service is logged as an error, and the request asks for a slot again without that server. This is an invariant beside the ticket's identity, which removes the known cause.

Measured: contract.request_path_test failed before (the archive server ran the request, the lesson server did not) and passes.

--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -191,13 +191,14 @@
         const auto now = m_loop.now();
         const auto *server = m_handlers.registry().find(incarnation.server);
         const auto timeLeft = std::chrono::duration_cast<milliseconds>(active.deadline - now);
+        const auto otherService = server != nullptr && server->entry.service != active.service;
+        if (otherService) {
+            m_handlers.onOtherService(active.record, server->entry);
+        }
         // The VM that granted the slot may have an older view of the server than this VM.
-        const auto usable = server != nullptr
+        const auto usable = server != nullptr && !otherService
             && server->entry.startedUnixMs == incarnation.startedUnixMs
             && m_handlers.registry().acceptsRequests(*server);
-        if (server != nullptr && server->entry.service != active.service) {
-            m_handlers.onOtherService(active.record, server->entry);
-        }
         if (!usable || timeLeft < m_options.minTimeToSend) {
             m_slots.release(number, {.end = SlotEnd::Abandoned}, now);
             active.excluded.push_back(incarnation.server);
