Pass the shortening of relayed records by reference

The linter reported the copy of the function in Gateway::followerHandlers(); the check of the whole tree was red for it (lint of platform/main.cpp). Nothing in behaviour changes.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -233,6 +233,7 @@
 
     using StoreType = typename Platform::StoreType;
     using Follower = TopicFollower<StoreType>;
+    using RecordShortener = std::function<std::optional<KeyedRecord>(const KeyedRecord &)>;
 
     [[nodiscard]] auto ready() const -> bool
     {
@@ -240,16 +241,14 @@
     }
 
     template <typename OnRecord, typename OnSnapshot>
-    auto
-    followerHandlers(const char *name, Outage &topicOutage, OnRecord onRecord,
-                     OnSnapshot onSnapshot,
-                     std::function<std::optional<KeyedRecord>(const KeyedRecord &)> shorten = {})
+    auto followerHandlers(const char *name, Outage &topicOutage, OnRecord onRecord,
+                          OnSnapshot onSnapshot, const RecordShortener &shorten = {})
         -> TopicFollowerHandlers
     {
         return {
             .onSnapshot = std::move(onSnapshot),
             .onRecord = std::move(onRecord),
-            .shorten = std::move(shorten),
+            .shorten = shorten,
             .onRead =
                 [this, name, &topicOutage](TimePoint sentAt, LogOffset end) {
                     if (const auto since = std::exchange(topicOutage.since, std::nullopt)) {
