Withdraw a request from this VM's own queue when it moves to another VM

What callers saw: less throughput for a moment after a VM joined or came back: slots were held by requests that were served elsewhere, each until its deadline and 0.5 s more.

Cause: when another VM becomes responsible for a group, queued requests move to it and are withdrawn from the VM that had them. When that was this VM itself, the release was sent as a datagram to the own name, which no VM receives. So the own broker granted the request a slot later, which sent it, while the release went to the other VM. A grant decided in the same tick, and not delivered yet, was lost to the caller in the same way.

Evidence: found in review by reading; contract.slot_failover_test failed in both cases before (1 request still queued, 1 slot held after both requests had ended; two requests moved where one had been granted).

Change: the withdrawal goes to the own broker where that is responsible, and decisions are delivered before requests move.

Measured: the test passes, as do slot_identity_test, request_path_test and slot_broker_test.

--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -156,9 +156,20 @@
     return m_view.responsibleVm(group.value(), now, avoided);
 }
 
-auto SlotClient::decideLocally(std::uint64_t number, Ticket &ticket, TimePoint now) -> void
+// Withdraws an undecided request from the VM that it was sent to, which may be this one.
+auto SlotClient::withdraw(const Ticket &ticket, TimePoint now) -> void
 {
-    m_handlers.send(ticket.responsibleVm, SlotRelease{.ticket = number, .end = SlotEnd::Abandoned});
+    if (ticket.responsibleVm == m_options.self) {
+        m_broker.release(ticket.request.id, {.end = SlotEnd::Abandoned}, now);
+        return;
+    }
+    m_handlers.send(ticket.responsibleVm,
+                    SlotRelease{.ticket = ticket.request.id.number, .end = SlotEnd::Abandoned});
+}
+
+auto SlotClient::decideLocally(Ticket &ticket, TimePoint now) -> void
+{
+    withdraw(ticket, now);
     ticket.decidedLocally = true;
     m_fallbackBroker.acquire(ticket.request, now);
 }
@@ -328,6 +339,9 @@
 {
     m_broker.tick(now);
     m_fallbackBroker.tick(now);
+    // Requests that these granted or refused must not move below.
+    deliver(m_broker);
+    deliver(m_fallbackBroker);
     auto overdue = std::vector<std::uint64_t>{};
     for (const auto &[number, ticket] : m_tickets) {
         if (!ticket.granted && !ticket.decidedLocally
@@ -354,11 +368,10 @@
         }
         if (ticket.vmsTried > 1) {
             // A request to a third VM would use up the time that is left.
-            decideLocally(number, ticket, now);
+            decideLocally(ticket, now);
             continue;
         }
-        m_handlers.send(ticket.responsibleVm,
-                        SlotRelease{.ticket = number, .end = SlotEnd::Abandoned});
+        withdraw(ticket, now);
         ticket.responsibleVm = responsibleVm;
         ticket.vmsTried += 1;
         ticket.lastResponseAt = now;
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -126,7 +126,8 @@
     [[nodiscard]] auto pickGroup(const SlotRequest &request) -> ServiceId;
     auto sendAcquire(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
     [[nodiscard]] auto findResponsibleVm(const ServiceId &group, TimePoint now) -> VmId;
-    auto decideLocally(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
+    auto withdraw(const Ticket &ticket, TimePoint now) -> void;
+    auto decideLocally(Ticket &ticket, TimePoint now) -> void;
     auto deliver(SlotBroker &broker) -> void;
     auto resolveTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome)
         -> void;
