Release a slot that arrives after the request was decided without its VM

What callers saw: a slot stayed taken until its request's deadline and 0.5 s more, at a VM whose messages were lost or late.

Cause: when no VM responds, a VM decides a request itself and sends the last VM that it asked a release. If that release is lost or overtaken, the VM grants the slot later, and the grant was ignored as a repetition of one that the request holds. The slot was never released.

Evidence: found in review by reading; the case added to contract.slot_failover_test failed before (no release was sent for the late grant) and passes.

Change: a grant for a request that was decided locally is released, like any other grant that no request waits for.

--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -319,7 +319,8 @@
     const auto expected = found != m_tickets.end() && !found->second.granted
         && !found->second.decidedLocally && found->second.responsibleVm == from;
     if (!expected) {
-        const auto duplicate = found != m_tickets.end() && found->second.responsibleVm == from;
+        const auto duplicate = found != m_tickets.end() && !found->second.decidedLocally
+            && found->second.responsibleVm == from;
         if (response.state == SlotState::Granted && !duplicate) {
             m_handlers.send(from,
                             SlotRelease{.ticket = response.ticket, .end = SlotEnd::Abandoned});
--- a/tests/contract/slot_failover_test.cpp
+++ b/tests/contract/slot_failover_test.cpp
@@ -139,3 +139,20 @@
     CHECK(vm.client.waiting() == 0);
     CHECK(vm.client.granted() == 1);
 }
+
+TEST_CASE("a slot granted after the request was decided without its VM is released there")
+{
+    auto vm = OneVm();
+    vm.join("first", 1e9);
+    vm.join("second", 1e6);
+    vm.client.acquire(request(1), start);
+    for (auto at = milliseconds(0); at < milliseconds(900); at += milliseconds(25)) {
+        vm.client.tick(start + at);
+    }
+    REQUIRE(vm.decisions[1] == "lessons-1");
+    const auto asked = vm.sentTo<SlotAcquire>("second");
+    REQUIRE(!asked.empty());
+    const auto released = vm.sentTo<SlotRelease>("second").size();
+    vm.respond("second", grantOf(asked.front()), start + milliseconds(900));
+    CHECK(vm.sentTo<SlotRelease>("second").size() == released + 1);
+}
