Keep running after an unreadable answer of the store to a group member

What callers saw: nothing yet; found in review. A field "Generation" that is no number, in an answer of status 200 to a call that joins the group of controller candidates, ended the process with an exception.

--- a/tests/contract/platform_streams_test.cpp
+++ b/tests/contract/platform_streams_test.cpp
@@ -143,3 +143,19 @@
     CHECK(message(*result) == message(ErrorCode::LimitExceeded));
     CHECK(server.requests().size() < bodies.size());
 }
+
+TEST_CASE("an unreadable answer of the store to a group member does not end the process")
+{
+    for (const auto *body : {R"({"Generation":"x","parts":[]})", R"({"Generation":-1})", "x"}) {
+        auto server = RawServer(repeatingScripts({body}));
+        auto loop = EventLoop();
+        auto client = HttpClient(loop, {});
+        auto store = StoreClient(client, server.address());
+        auto elected = std::optional<bool>{};
+        store.joinGroup({.group = "g", .member = "m", .topic = "t"},
+                        [&](const auto &result) { elected = result && result.value(); });
+        await(loop, elected);
+        REQUIRE(elected);
+        CHECK(!*elected);
+    }
+}
