Use the same number of server groups on all VMs

What callers saw: requests were refused with 503 although their server had free slots, at VMs that asked a VM that had started later.

Cause: the servers of a service are split into groups by hash, and a group is named by its number. The number of groups never shrinks in a process, so that servers stay in their group, but a process that starts when fewer servers are left begins with fewer groups. The same name then means other servers at the two VMs: the later one refuses slots of servers that it counts to another group, and two VMs allocate the slots of one server.

Only services with more than 24 servers have more than one group.

Change: heartbeats state the numbers of groups above one, and a VM takes over the larger ones. Earlier releases ignore the new field, and a heartbeat without it changes nothing.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -36,6 +36,8 @@
     /// Offsets up to which the sender has read, by topic.
     std::map<std::string, LogOffset> topicEnds;
     std::map<TeamId, TeamUsage> usageByTeam; ///< see TeamLimits::takeUsage()
+    /// Number of server groups of each service, see SlotClient::groupCounts().
+    std::map<ServiceId, std::size_t> groupCounts;
 
     auto operator==(const Heartbeat &) const -> bool = default;
 };
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -44,8 +44,16 @@
         usageByTeam.push_back({team.value(), use.admitted, toFloatPrecision(use.demand),
                                toFloatPrecision(use.admittedRate)});
     }
-    return {static_cast<int>(Kind::Heartbeat), message.leaving, message.topicEnds,
-            std::move(usageByTeam), message.capacity};
+    auto groupCounts = json::array();
+    for (const auto &[service, count] : message.groupCounts) {
+        groupCounts.push_back({service.value(), count});
+    }
+    return {static_cast<int>(Kind::Heartbeat),
+            message.leaving,
+            message.topicEnds,
+            std::move(usageByTeam),
+            message.capacity,
+            std::move(groupCounts)};
 }
 
 auto toJson(const WorkReport &message) -> json
@@ -131,6 +139,11 @@
                                               .demand = row.at(2).get<double>(),
                                               .admittedRate = row.at(3).get<double>()});
     }
+    // VMs of earlier releases omit it.
+    for (const auto &row : fields.size() > 5 ? fields.at(5) : json::array()) {
+        message.groupCounts.emplace(ServiceId(row.at(0).get<std::string>()),
+                                    row.at(1).get<std::size_t>());
+    }
     return message;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -299,6 +299,9 @@
                                   .leaving = heartbeat->leaving,
                                   .capacity = heartbeat->capacity});
             m_slots.onProcess(message.from, message.incarnation);
+            if (m_slots.raiseGroupCounts(heartbeat->groupCounts)) {
+                updateServers();
+            }
             m_limits.report(message.from, message.incarnation, heartbeat->usageByTeam, now);
             for (auto *follower : followers()) {
                 const auto end = heartbeat->topicEnds.find(follower->topic());
@@ -344,7 +347,8 @@
         m_link->sendToAll(Heartbeat{.leaving = m_leaving,
                                     .capacity = m_settings.cpuShare,
                                     .topicEnds = topicEnds(),
-                                    .usageByTeam = m_limits.takeUsage(now)});
+                                    .usageByTeam = m_limits.takeUsage(now),
+                                    .groupCounts = m_slots.groupCounts()});
         if (!m_announced && now >= m_announceAt) {
             m_announceAt = now + milliseconds(1500);
             announceSelf();
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Limit for the number of groups that another VM may report.
+constexpr std::size_t maxGroups = 1000;
+
 auto toMs(Duration duration) -> milliseconds
 {
     return std::chrono::duration_cast<milliseconds>(duration);
@@ -108,6 +111,25 @@
     }
 }
 
+auto SlotClient::groupCounts() const -> std::map<ServiceId, std::size_t>
+{
+    auto result = m_groupCounts;
+    std::erase_if(result, [](const auto &item) { return item.second <= 1; });
+    return result;
+}
+
+auto SlotClient::raiseGroupCounts(const std::map<ServiceId, std::size_t> &counts) -> bool
+{
+    auto raised = false;
+    for (const auto &[service, count] : counts) {
+        auto &groups = m_groupCounts.try_emplace(service, std::size_t{1}).first->second;
+        const auto usable = std::min(count, maxGroups);
+        raised = raised || usable > groups;
+        groups = std::max(groups, usable);
+    }
+    return raised;
+}
+
 auto SlotClient::acquire(SlotRequest request, TimePoint now) -> void
 {
     request.service = pickGroup(request);
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -77,6 +77,12 @@
     /// @param coldRates requests per second that a cold server of each service can handle
     auto setServers(const ServerRegistry &registry, const std::map<ServiceId, double> &coldRates)
         -> void;
+    /// Returns the number of groups of each service that has more than one. All VMs must use the
+    /// same numbers, because a server's group and the VM that allocates its slots depend on them.
+    [[nodiscard]] auto groupCounts() const -> std::map<ServiceId, std::size_t>;
+    /// Takes over the larger numbers of groups that another VM uses.
+    /// @return whether a number changed; setServers() must then be called
+    auto raiseGroupCounts(const std::map<ServiceId, std::size_t> &counts) -> bool;
     /// Requests a slot. The decision may be delivered before this returns.
     /// @param request the number of its id is the caller's and may be used again after release();
     /// the ticket's number, service and zone are filled in
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -147,7 +147,8 @@
         .leaving = true,
         .capacity = 0.2,
         .topicEnds = {{"t", 17}},
-        .usageByTeam = {{TeamId("band"), {.admitted = 3, .demand = 2.5, .admittedRate = 1.5}}}};
+        .usageByTeam = {{TeamId("band"), {.admitted = 3, .demand = 2.5, .admittedRate = 1.5}}},
+        .groupCounts = {{ServiceId("s"), 7}}};
     CHECK(roundTrip(heartbeat).payload == FleetPayload(heartbeat));
     const auto acquire = SlotAcquire{.ticket = 9,
                                      .service = ServiceId("s#0"),
