Test the slots that a VM of an earlier release grants

Responses of earlier releases do not name the process that they answer, so a VM beside them is protected by the comparison of the service only.

--- a/tests/contract/request_service_test.cpp
+++ b/tests/contract/request_service_test.cpp
@@ -74,6 +74,7 @@
         return status.value_or(0);
     }
 
+    std::string responseProcess = "p"; ///< empty as in responses of VMs of earlier releases
     std::vector<SlotEnd> releases;
     std::vector<std::string> otherService;
 
@@ -104,7 +105,7 @@
         if (acquire == nullptr || m_granted.empty()) {
             return;
         }
-        auto response = SlotResponse{.ticket = acquire->ticket, .process = "p"};
+        auto response = SlotResponse{.ticket = acquire->ticket, .process = responseProcess};
         response.state = SlotState::Granted;
         response.server = {.server = BackendServerId(m_granted.front()), .startedUnixMs = 1};
         m_granted.erase(m_granted.begin());
@@ -164,3 +165,13 @@
     CHECK(vm.otherService == std::vector<std::string>{"archive-1"});
     CHECK(vm.releases == std::vector<SlotEnd>{SlotEnd::Abandoned, SlotEnd::Served});
 }
+
+TEST_CASE("a slot of another service that a VM of an earlier release grants is not used")
+{
+    auto vm = VmWithRoute();
+    vm.responseProcess.clear();
+    CHECK(vm.send({"archive-1", "lessons-1"}) == 200);
+    CHECK(vm.archiveServer.runs().empty());
+    CHECK(vm.lessonServer.runs().size() == 1);
+    CHECK(vm.releases == std::vector<SlotEnd>{SlotEnd::Abandoned, SlotEnd::Served});
+}
