Limit the service times that decide how many keys a server gets

Callers of a keyed service waited for slots or were refused while most of its servers were idle.

Cause: the key planner took the last reported service time of a server for its speed. After one response that may be an error or a short request.

Change: a time is limited to between half and three times the median of the service; real servers there differ by less. A server without a report counts like the median instead of 150 ms.

Both tests failed before: a server with one response of 3 ms got a load of 173 where 2.5 fair shares are 41, and one with a response of 3 s kept 1.9 where a fifth of a share is 3.3.

--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -1,3 +1,4 @@
+#include "figlanding/gateway/key_capacity.h"
 #include "figlanding/gateway/key_controller.h"
 
 #include <algorithm>
@@ -201,7 +202,7 @@
 auto KeyController::candidates(const ServiceId &id, const ControllerInputs &inputs,
                                TimePoint now) const -> std::vector<OwnerCandidate>
 {
-    constexpr auto defaultServiceMs = 150.0; // assumed if no service time is known
+    const auto capacities = ServerCapacities(inputs.registry, id, inputs.serviceTimes);
     auto result = std::vector<OwnerCandidate>{};
     for (const auto &[name, server] : inputs.registry.servers()) {
         const auto incarnation =
@@ -211,12 +212,8 @@
         if (server.entry.service != id || !inputs.registry.acceptsRequests(server) || isAvoided) {
             continue;
         }
-        const auto time = inputs.serviceTimes.find(name);
-        const auto ms = time == inputs.serviceTimes.end()
-            ? defaultServiceMs
-            : std::max(1.0, static_cast<double>(time->second.count()));
         result.push_back({.incarnation = incarnation,
-                          .capacity = server.entry.slots * defaultServiceMs / ms,
+                          .capacity = capacities.of(server),
                           .cold = server.coldUntil > now});
     }
     return result;
--- a/tests/unit/key_rebalance_test.cpp
+++ b/tests/unit/key_rebalance_test.cpp
@@ -61,6 +61,20 @@
         loads.resize(shardKeyCount);
         loads[key] = load;
     }
+    auto setServiceTime(const BackendServerId &server, milliseconds time) -> void
+    {
+        m_serviceTimes[server] = time;
+    }
+    [[nodiscard]] auto loadOf(const BackendServerId &server) const -> double
+    {
+        auto sum = 0.0;
+        for (const auto &range : m_table.ranges) {
+            for (auto key = range.keys.from; key <= range.keys.to; ++key) {
+                sum += range.owner.server == server ? m_loads.at(service)[key] : 0.0F;
+            }
+        }
+        return sum;
+    }
     [[nodiscard]] auto ownerOf(ShardKey key) const -> BackendServerId
     {
         return findRange(m_table, key)->owner.server;
@@ -211,6 +225,39 @@
     CHECK(fleet.releasesWithLowFence() == 0);
 }
 
+TEST_CASE("a server with one fast response does not get more keys than it can serve")
+{
+    constexpr auto servers = 40;
+    auto fleet = FleetFixture(servers);
+    for (auto i = 0; i < servers; ++i) {
+        fleet.setServiceTime(serverName(i), milliseconds(100));
+    }
+    fleet.setServiceTime(serverName(7), milliseconds(3));
+    for (ShardKey key = 0; key < shardKeyCount; ++key) {
+        fleet.setLoad(key, 0.0075F);
+    }
+    for (ShardKey key = 20'000; key < 20'400; ++key) {
+        fleet.setLoad(key, 0.4F);
+    }
+    fleet.run(seconds(5));
+    CHECK(fleet.loadOf(serverName(7)) < 2.5 * (0.0075 * shardKeyCount + 160.0) / servers);
+}
+
+TEST_CASE("a server with one slow response keeps a part of the keys")
+{
+    constexpr auto servers = 40;
+    auto fleet = FleetFixture(servers);
+    for (auto i = 0; i < servers; ++i) {
+        fleet.setServiceTime(serverName(i), milliseconds(100));
+    }
+    fleet.setServiceTime(serverName(7), milliseconds(3000));
+    for (ShardKey key = 0; key < shardKeyCount; ++key) {
+        fleet.setLoad(key, 0.01F);
+    }
+    fleet.run(seconds(5));
+    CHECK(fleet.loadOf(serverName(7)) > 0.2 * 0.01 * shardKeyCount / servers);
+}
+
 TEST_CASE("loads are the sums of the counts of all VMs, and decay")
 {
     auto loads = KeyLoads();
