Repeat the release of a slot until the responsible VM confirms it

Cause: datagrams are lost when a link is full, and the links of 77 of 83 VMs have 10 Mbit/s. A release was sent once. A lost one kept one of the two slots of a server until the deadline of its request plus 0.5 s.

Change: a VM repeats a release after 60 ms, then at doubled intervals, at most five times, until the responsible VM confirms it with a slot response of the new state Released. A repeated release of a ticket that is not known does nothing, and a ticket number is never used again, so a repetition can't end another grant. A VM of an earlier release ignores the confirmation, and one that confirms nothing gets five repetitions.

Two of the new tests failed without the repetition. TwoVms moves to a header so that both test files use it; the tests of slot_identity_test are unchanged.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -66,10 +66,15 @@
     auto operator==(const SlotAcquire &) const -> bool = default;
 };
 
-/// State of a SlotAcquire at the broker.
-enum class SlotState { Granted, Refused, Queued };
+/// State of a ticket at the broker.
+enum class SlotState {
+    Granted,
+    Refused,
+    Queued,
+    Released, ///< confirms a SlotRelease; VMs of earlier releases neither send nor need it
+};
 
-/// The broker's response to a SlotAcquire.
+/// The broker's response to a SlotAcquire or a SlotRelease.
 struct SlotResponse
 {
     std::uint64_t ticket = 0;
@@ -81,7 +86,7 @@
     auto operator==(const SlotResponse &) const -> bool = default;
 };
 
-/// Releases a slot, or cancels a queued SlotAcquire.
+/// Releases a slot, or cancels a queued SlotAcquire. Repeated until it is confirmed.
 struct SlotRelease
 {
     std::uint64_t ticket = 0;
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -47,6 +47,7 @@
     , m_broker(m_options.broker, m_options.randomSeed)
     , m_fallbackBroker(m_options.broker, m_options.randomSeed + 1)
     , m_random(m_options.randomSeed + 2)
+    , m_unconfirmedReleases(m_options.releases)
 { }
 
 auto SlotClient::groupOf(const ServiceId &service, const BackendServerId &server) const -> ServiceId
@@ -156,9 +157,15 @@
     return m_view.responsibleVm(group.value(), now, avoided);
 }
 
+auto SlotClient::sendRelease(const VmId &to, const SlotRelease &release, TimePoint now) -> void
+{
+    m_handlers.send(to, release);
+    m_unconfirmedReleases.add({.to = to, .release = release}, now);
+}
+
 auto SlotClient::decideLocally(std::uint64_t number, Ticket &ticket, TimePoint now) -> void
 {
-    m_handlers.send(ticket.responsibleVm, SlotRelease{.ticket = number, .end = SlotEnd::Abandoned});
+    sendRelease(ticket.responsibleVm, {.ticket = number, .end = SlotEnd::Abandoned}, now);
     ticket.decidedLocally = true;
     m_fallbackBroker.acquire(ticket.request, now);
 }
@@ -178,11 +185,12 @@
         m_broker.release(id, result, now);
         deliver(m_broker);
     } else {
-        m_handlers.send(entry.mapped().responsibleVm,
-                        SlotRelease{.ticket = id.number,
-                                    .end = result.end,
-                                    .elapsed = toMs(result.elapsed),
-                                    .load = result.load});
+        sendRelease(entry.mapped().responsibleVm,
+                    {.ticket = id.number,
+                     .end = result.end,
+                     .elapsed = toMs(result.elapsed),
+                     .load = result.load},
+                    now);
     }
 }
 
@@ -288,6 +296,10 @@
     m_broker.release({.vm = message.from, .process = message.incarnation, .number = release.ticket},
                      {.end = release.end, .elapsed = release.elapsed, .load = release.load}, now);
     deliver(m_broker);
+    m_handlers.send(message.from,
+                    SlotResponse{.ticket = release.ticket,
+                                 .process = message.incarnation,
+                                 .state = SlotState::Released});
 }
 
 auto SlotClient::onResponse(const FleetMessage &message, const SlotResponse &response,
@@ -304,14 +316,17 @@
                        .granted = response.state == SlotState::Granted}});
         return;
     }
+    if (response.state == SlotState::Released) {
+        m_unconfirmedReleases.confirm(from, response.ticket);
+        return;
+    }
     const auto found = m_tickets.find(response.ticket);
     const auto expected = found != m_tickets.end() && !found->second.granted
         && !found->second.decidedLocally && found->second.responsibleVm == from;
     if (!expected) {
         const auto duplicate = found != m_tickets.end() && found->second.responsibleVm == from;
         if (response.state == SlotState::Granted && !duplicate) {
-            m_handlers.send(from,
-                            SlotRelease{.ticket = response.ticket, .end = SlotEnd::Abandoned});
+            sendRelease(from, {.ticket = response.ticket, .end = SlotEnd::Abandoned}, now);
         }
         return;
     }
@@ -328,6 +343,9 @@
 {
     m_broker.tick(now);
     m_fallbackBroker.tick(now);
+    for (const auto &[to, release] : m_unconfirmedReleases.takeDue(now)) {
+        m_handlers.send(to, release);
+    }
     auto overdue = std::vector<std::uint64_t>{};
     for (const auto &[number, ticket] : m_tickets) {
         if (!ticket.granted && !ticket.decidedLocally
@@ -357,8 +375,7 @@
             decideLocally(number, ticket, now);
             continue;
         }
-        m_handlers.send(ticket.responsibleVm,
-                        SlotRelease{.ticket = number, .end = SlotEnd::Abandoned});
+        sendRelease(ticket.responsibleVm, {.ticket = number, .end = SlotEnd::Abandoned}, now);
         ticket.responsibleVm = responsibleVm;
         ticket.vmsTried += 1;
         ticket.lastResponseAt = now;
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -4,6 +4,7 @@
 #include "figlanding/gateway/fleet_view.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/slot_broker.h"
+#include "gateway/unconfirmed_releases.h"
 
 #include <deque>
 #include <functional>
@@ -31,6 +32,7 @@
     milliseconds resendAfter{120}; ///< an unanswered request for a slot is sent again
     milliseconds failoverAfter{250}; ///< a VM that has not responded for this long is replaced
     milliseconds avoidFor{1500}; ///< a replaced VM gets no requests for this long
+    UnconfirmedReleasesOptions releases;
 };
 
 /// How a message about a ticket does not agree with the ticket.
@@ -89,8 +91,8 @@
     auto onProcess(const VmId &vm, const std::string &process) -> void;
     /// Processes a message of another VM.
     auto onMessage(const FleetMessage &message, TimePoint now) -> void;
-    /// Resends unanswered requests, fails over from a VM that does not respond to another one, and
-    /// delivers decisions of the brokers that are due.
+    /// Resends unanswered requests and unconfirmed releases, fails over from a VM that does not
+    /// respond to another one, and delivers decisions of the brokers that are due.
     auto tick(TimePoint now) -> void;
     [[nodiscard]] auto waiting() const -> std::size_t
     {
@@ -126,6 +128,8 @@
     [[nodiscard]] auto pickGroup(const SlotRequest &request) -> ServiceId;
     auto sendAcquire(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
     [[nodiscard]] auto findResponsibleVm(const ServiceId &group, TimePoint now) -> VmId;
+    // Sends a release, and again until it is confirmed.
+    auto sendRelease(const VmId &to, const SlotRelease &release, TimePoint now) -> void;
     auto decideLocally(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
     auto deliver(SlotBroker &broker) -> void;
     auto resolveTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome)
@@ -148,6 +152,7 @@
     std::map<std::uint64_t, Ticket> m_tickets; ///< by ticket number
     std::map<std::uint64_t, std::uint64_t> m_ticketNumbers; ///< by the number given to acquire()
     std::uint64_t m_nextTicket = 1;
+    UnconfirmedReleases m_unconfirmedReleases;
     /// Last processes seen of each VM. They carry no order: a late message of an earlier process
     /// must not be taken for a new one.
     std::map<VmId, std::deque<std::string>> m_processes;
