--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -50,6 +50,7 @@
     , m_broker(m_options.broker, m_options.randomSeed)
     , m_fallbackBroker(m_options.broker, m_options.randomSeed + 1)
     , m_random(m_options.randomSeed + 2)
+    , m_unconfirmedReleases(m_options.releases)
 { }
 
 auto SlotClient::groupOf(const ServiceId &service, const BackendServerId &server) const -> ServiceId
@@ -178,15 +179,21 @@
     return m_view.responsibleVm(group.value(), now, avoided);
 }
 
+auto SlotClient::sendRelease(const VmId &to, const SlotRelease &release, TimePoint now) -> void
+{
+    m_handlers.send(to, release);
+    m_unconfirmedReleases.add({.to = to, .release = release}, now);
+}
+
 // Withdraws an undecided request from the VM that it was sent to, which may be this one.
 auto SlotClient::withdraw(const Ticket &ticket, TimePoint now) -> void
 {
+    const auto &id = ticket.request.id;
     if (ticket.responsibleVm == m_options.self) {
-        m_broker.release(ticket.request.id, {.end = SlotEnd::Abandoned}, now);
+        m_broker.release(id, {.end = SlotEnd::Abandoned}, now);
         return;
     }
-    m_handlers.send(ticket.responsibleVm,
-                    SlotRelease{.ticket = ticket.request.id.number, .end = SlotEnd::Abandoned});
+    sendRelease(ticket.responsibleVm, {.ticket = id.number, .end = SlotEnd::Abandoned}, now);
 }
 
 auto SlotClient::decideLocally(Ticket &ticket, TimePoint now) -> void
@@ -211,11 +218,12 @@
         m_broker.release(id, result, now);
         deliver(m_broker);
     } else {
-        m_handlers.send(entry.mapped().responsibleVm,
-                        SlotRelease{.ticket = id.number,
-                                    .end = result.end,
-                                    .elapsed = toMs(result.elapsed),
-                                    .load = result.load});
+        sendRelease(entry.mapped().responsibleVm,
+                    {.ticket = id.number,
+                     .end = result.end,
+                     .elapsed = toMs(result.elapsed),
+                     .load = result.load},
+                    now);
     }
 }
 
@@ -321,6 +329,10 @@
     m_broker.release({.vm = message.from, .process = message.incarnation, .number = release.ticket},
                      {.end = release.end, .elapsed = release.elapsed, .load = release.load}, now);
     deliver(m_broker);
+    m_handlers.send(message.from,
+                    SlotResponse{.ticket = release.ticket,
+                                 .process = message.incarnation,
+                                 .state = SlotState::Released});
 }
 
 auto SlotClient::onResponse(const FleetMessage &message, const SlotResponse &response,
@@ -337,6 +349,10 @@
                        .granted = response.state == SlotState::Granted}});
         return;
     }
+    if (response.state == SlotState::Released) {
+        m_unconfirmedReleases.confirm(from, response.ticket);
+        return;
+    }
     const auto found = m_tickets.find(response.ticket);
     const auto expected = found != m_tickets.end() && !found->second.granted
         && !found->second.decidedLocally && found->second.responsibleVm == from;
@@ -344,8 +360,7 @@
         const auto duplicate = found != m_tickets.end() && !found->second.decidedLocally
             && found->second.responsibleVm == from;
         if (response.state == SlotState::Granted && !duplicate) {
-            m_handlers.send(from,
-                            SlotRelease{.ticket = response.ticket, .end = SlotEnd::Abandoned});
+            sendRelease(from, {.ticket = response.ticket, .end = SlotEnd::Abandoned}, now);
         }
         return;
     }
@@ -365,6 +380,9 @@
     // Requests that these granted or refused must not move below.
     deliver(m_broker);
     deliver(m_fallbackBroker);
+    for (const auto &[to, release] : m_unconfirmedReleases.takeDue(now)) {
+        m_handlers.send(to, release);
+    }
     auto overdue = std::vector<std::uint64_t>{};
     for (const auto &[number, ticket] : m_tickets) {
         if (!ticket.granted && !ticket.decidedLocally
