Reset the connection of a request that ended unanswered

The caller had its answer from lessons-2 already. The operation ran on two servers, the second time on one that had lost the key.

Cause: lessons-3, which does not check fences, was cut off from all VMs for 2.3 s. The dispatching VM sent the request within the first 0.2 s, on a fresh view, with a deadline of 800 ms. The call ended after 800 ms and its connection was closed in the normal way. After such a close the system goes on delivering what the peer has not acknowledged, so the request arrived 0.7 to 1.1 ms after the end of the partition, 1.5 s after its deadline and after the commit of the move. The server counts the deadline that it is given from the arrival.

Ruled out: a request sent on an expired view (each arrived at its entry VM 0.165 s after the begin of the partition and 2.05 s before its run on the new owner), and an error of the checker (a caller that reads by the late run sees the old owner).

Change: HttpClient can reset the connection of a call that ends, by timeout or cancel(), before a byte of the response. A reset discards the bytes that are not acknowledged, so they are not delivered any more. The first composition uses this for backend servers. The outcome of the call stays MayHaveRun. The option is off elsewhere.

The fault proxy forwarded bytes held up by a partition even if their sender had reset the connection. With a real partition these bytes are still in the sender's queue and are lost by the reset. The proxy now drops them then, and as before delivers them after a normal close; a test holds both.

New tests: contract.http_client_test, contract.fault_proxy_test, and integration.fault_test "a request held up by a partition ...".

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -108,7 +108,7 @@
     , startedAt(loop.now())
     , metrics(settings.vm)
     , platformClient(loop, {})
-    , serverClient(loop, {})
+    , serverClient(loop, {.resetsUnanswered = true})
     , logService(platformClient, settings.log.address, settings.log.timeout)
     , freshness({.self = settings.vm,
                  .incarnation = incarnation,
--- a/src/io/connection_registry.cpp
+++ b/src/io/connection_registry.cpp
@@ -20,7 +20,7 @@
 {
     remove(fd);
     m_sockets[endpoints] = fd;
-    m_entries[fd] = Entry{.endpoints = std::move(endpoints), .lastUsed = {}};
+    m_entries[fd] = Entry{.endpoints = std::move(endpoints), .lastUsed = {}, .unanswered = false};
 }
 
 auto ConnectionRegistry::remove(int fd) -> void
@@ -50,6 +50,20 @@
     }
 }
 
+auto ConnectionRegistry::setUnanswered(int fd, bool unanswered) -> void
+{
+    const auto entry = m_entries.find(fd);
+    if (entry != m_entries.end()) {
+        entry->second.unanswered = unanswered;
+    }
+}
+
+auto ConnectionRegistry::unanswered(int fd) const -> bool
+{
+    const auto entry = m_entries.find(fd);
+    return entry != m_entries.end() && entry->second.unanswered;
+}
+
 auto ConnectionRegistry::reusable(int fd, TimePoint now, Duration maxIdleAge) const -> bool
 {
     const auto entry = m_entries.find(fd);
--- a/src/io/connection_registry.h
+++ b/src/io/connection_registry.h
@@ -36,6 +36,11 @@
     [[nodiscard]] auto find(const ConnectionEndpoints &endpoints) const -> int;
     /// Records that a call on @p fd ended at @p now.
     auto touch(int fd, TimePoint now) -> void;
+    /// Records whether the request on @p fd is unanswered: it may have been sent, and no byte of a
+    /// response has arrived.
+    auto setUnanswered(int fd, bool unanswered) -> void;
+    /// Returns whether the request on @p fd is unanswered.
+    [[nodiscard]] auto unanswered(int fd) const -> bool;
     /// Returns whether @p fd can carry a new request: it has no unread input, the peer has not
     /// closed it, and its last call ended at most @p maxIdleAge before @p now.
     [[nodiscard]] auto reusable(int fd, TimePoint now, Duration maxIdleAge) const -> bool;
@@ -45,6 +50,7 @@
     {
         ConnectionEndpoints endpoints;
         TimePoint lastUsed;
+        bool unanswered = false;
     };
     struct EndpointsHash
     {
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "io/http_request_check.h"
 #include "io/http_transfer.h"
+#include "io/socket.h"
 
 #include <curl/curl.h>
 #include <ev.h>
@@ -311,6 +312,9 @@
 auto HttpClient::Impl::onCloseSocket(void *self, curl_socket_t fd) -> int
 {
     auto *impl = static_cast<Impl *>(self);
+    if (impl->options.resetsUnanswered && impl->registry.unanswered(fd)) {
+        resetOnClose(fd);
+    }
     impl->registry.remove(fd);
     const auto index = static_cast<std::size_t>(fd);
     if (index < impl->watchers.size() && impl->watchers[index]) {
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -61,6 +61,10 @@
     /// The smallest VMs have 160 MB.
     std::size_t maxBufferedBytes = std::size_t{48} * 1024 * 1024;
     milliseconds tcpUserTimeout{5000}; ///< TCP_USER_TIMEOUT: closes if data stays unacknowledged
+    /// Resets the connection of a call that ends before a byte of the response, by timeout or by
+    /// cancel(). The system then stops delivering the request; after a normal close, a server that
+    /// was cut off may get it long after the call has ended.
+    bool resetsUnanswered = false;
     /// Accepts responses whose body is delimited by the end of the connection. A connection reset
     /// still fails the call.
     bool acceptsCloseDelimited = false;
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -245,10 +245,12 @@
         m_socket = std::exchange(m_openedSocket, -1);
         m_newConnection = true;
         m_registry.add(std::move(endpoints), m_socket);
+        m_registry.setUnanswered(m_socket, true);
         return true;
     }
     m_socket = m_registry.find(endpoints);
     m_staleConnection = !m_registry.reusable(m_socket, MonotonicClock::now(), m_options.maxIdleAge);
+    m_registry.setUnanswered(m_socket, !m_staleConnection);
     return !m_staleConnection;
 }
 
@@ -261,6 +263,7 @@
         return false;
     }
     if (line.starts_with("HTTP/")) {
+        m_registry.setUnanswered(m_socket, false);
         m_response.status = parseStatusCode(line);
         m_response.headers = HttpHeaders{};
         m_headersComplete = false;
--- a/src/io/socket.cpp
+++ b/src/io/socket.cpp
@@ -125,6 +125,12 @@
     ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
 }
 
+auto resetOnClose(int fd) -> void
+{
+    const auto option = linger{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 auto localPort(int fd) -> std::uint16_t
 {
     auto storage = sockaddr_storage{};
--- a/tests/contract/fault_proxy_test.cpp
+++ b/tests/contract/fault_proxy_test.cpp
@@ -88,6 +88,30 @@
     CHECK(isHealthResponse(client.readUntil(healthEnd, limit)));
 }
 
+TEST_CASE("bytes held up by a partition are lost if their sender resets the connection")
+{
+    ProxiedServer proxied;
+    RawClient client(proxied.proxy.port());
+    CHECK(isHealthResponse(requestHealth(client, limit)));
+    proxied.setFaults({{"partition", true}});
+    client.send("GET /held HTTP/1.1\r\nhost: a\r\n\r\n");
+    auto delivered = false;
+    SUBCASE("reset")
+    {
+        client.reset();
+    }
+    SUBCASE("normal close")
+    {
+        client.close();
+        delivered = true;
+    }
+    proxied.setFaults(nlohmann::json::object());
+    RawClient later(proxied.proxy.port());
+    CHECK(isHealthResponse(requestHealth(later, limit)));
+    const auto history = proxied.server.get("/standin/history").response.body;
+    CHECK((history.find("/held") != std::string::npos) == delivered);
+}
+
 TEST_CASE("established connections are closed on demand")
 {
     ProxiedServer proxied;
--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -353,6 +353,36 @@
     CHECK_FALSE(called);
 }
 
+TEST_CASE("the request of a call that ended without an answer is not delivered any more")
+{
+    constexpr milliseconds timeout{50};
+    const auto resets = [&](const RawScript &script, bool resetsUnanswered, bool cancelled) {
+        auto server = RawServer({script});
+        auto syncClient = SyncClient({.resetsUnanswered = resetsUnanswered});
+        if (cancelled) {
+            const auto id = syncClient.client().call(server.address(), post("b"), {},
+                                                     [](const HttpOutcome &) {});
+            syncClient.wait(timeout);
+            syncClient.client().cancel(id);
+        } else {
+            (void)syncClient.call(server.address(), post("b"), {.timeout = timeout});
+        }
+        for (auto i = 0; i < 200 && server.readToEnd() == 0; ++i) {
+            syncClient.wait(milliseconds(10));
+        }
+        REQUIRE(server.readToEnd() == 1);
+        return server.resets() == 1;
+    };
+    const auto silent = RawScript{step(RawAction::ReadAll)};
+    const auto closing =
+        RawScript{read(), send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
+                  step(RawAction::ReadAll)};
+    CHECK(resets(silent, true, false));
+    CHECK(resets(silent, true, true));
+    CHECK_FALSE(resets(closing, true, false));
+    CHECK_FALSE(resets(silent, false, false));
+}
+
 TEST_CASE("callAndWait returns the response")
 {
     auto server = RawServer({{read(), send(okResponse)}});
--- a/tests/contract/raw_server.cpp
+++ b/tests/contract/raw_server.cpp
@@ -1,5 +1,7 @@
 #include "raw_server.h"
 
+#include "io/socket.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -113,6 +115,19 @@
     m_requests.push_back(text);
 }
 
+auto RawServer::readAll(int fd) -> void
+{
+    auto buffer = std::array<char, 4096>{};
+    while (waitReadable(fd)) {
+        const auto size = ::recv(fd, buffer.data(), buffer.size(), 0);
+        if (size <= 0) {
+            m_resets += size < 0 && errno == ECONNRESET ? 1 : 0;
+            ++m_readToEnd;
+            return;
+        }
+    }
+}
+
 auto RawServer::stream(int fd, const RawStep &step) -> void
 {
     auto item = pollfd{.fd = fd, .events = POLLOUT, .revents = 0};
@@ -145,6 +160,8 @@
             if (waitReadable(fd)) {
                 (void)::recv(fd, &byte, 1, 0);
             }
+        } else if (step.action == RawAction::ReadAll) {
+            readAll(fd);
         } else if (step.action == RawAction::Send) {
             (void)::send(fd, step.text.data(), step.text.size(), MSG_NOSIGNAL);
         } else if (step.action == RawAction::Stream || step.action == RawAction::Trickle) {
@@ -152,8 +169,7 @@
         } else if (step.action == RawAction::Pause) {
             ::usleep(pauseMicroseconds);
         } else if (step.action == RawAction::Reset) {
-            const auto option = linger{.l_onoff = 1, .l_linger = 0};
-            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+            resetOnClose(fd);
             break;
         } else if (step.action == RawAction::Close) {
             break;
--- a/tests/contract/raw_server.h
+++ b/tests/contract/raw_server.h
@@ -17,6 +17,7 @@
 enum class RawAction {
     ReadRequest, ///< reads one complete request
     ReadSome, ///< reads one byte
+    ReadAll, ///< reads until the peer closes the connection
     Send, ///< sends RawStep::text
     Close, ///< closes the connection normally
     Pause, ///< waits 10 ms, so that the client reads an earlier response separately
@@ -56,10 +57,22 @@
         return m_closedStreams;
     }
 
+    /// Returns the number of ReadAll steps that have ended.
+    [[nodiscard]] auto readToEnd() const -> int
+    {
+        return m_readToEnd;
+    }
+    /// Returns the number of ReadAll steps that the peer ended with RST.
+    [[nodiscard]] auto resets() const -> int
+    {
+        return m_resets;
+    }
+
 private:
     auto serve() -> void;
     auto runScript(int fd, const RawScript &script) -> void;
     auto readRequest(int fd) -> void;
+    auto readAll(int fd) -> void;
     auto stream(int fd, const RawStep &step) -> void;
     auto waitReadable(int fd) const -> bool;
 
@@ -68,6 +81,8 @@
     std::uint16_t m_port = 0;
     std::atomic<bool> m_stop = false;
     std::atomic<int> m_closedStreams = 0;
+    std::atomic<int> m_readToEnd = 0;
+    std::atomic<int> m_resets = 0;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::vector<std::thread> m_connections;
--- a/tests/integration/fault_test.cpp
+++ b/tests/integration/fault_test.cpp
@@ -82,9 +82,23 @@
         std::count_if(load->records().begin(), load->records().end(), [&](const auto &record) {
             return record.sentNs > lostNs + recoveryNs && record.status != 200;
         });
+    INFO("lost at ", lostNs, "\n", describeFailures(*load));
     CHECK(failedLater == 0);
 }
 
+TEST_CASE("a request held up by a partition does not reach the old owner after its keys have moved")
+{
+    const RunningFleet running(4);
+    auto &fleet = *running.fleet;
+    REQUIRE_FALSE(fleet.deployment().servers.at(0).checksFence);
+    const auto load = running.load(fleet.callerAddresses(), 6);
+    std::this_thread::sleep_for(seconds(1));
+    fleet.setServerLinkFaults(0, {{"partition", true}});
+    std::this_thread::sleep_for(seconds(3));
+    fleet.setServerLinkFaults(0, nlohmann::json::object());
+    running.check(*load);
+}
+
 TEST_CASE("a withdrawn team key is refused within seconds, also on an open connection")
 {
     const RunningFleet running(3);
--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <limits>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace figlanding::standins {
@@ -19,6 +20,13 @@
 constexpr milliseconds throttleInterval{20};
 constexpr std::size_t throttleStepsPerSecond = 50;
 
+auto hasFailed(const FileDescriptor &socket) -> bool
+{
+    auto error = 0;
+    auto size = socklen_t{sizeof error};
+    return ::getsockopt(socket.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
+}
+
 } // namespace
 
 /// A connection from a client, with the connection to the target that it is forwarded to.
@@ -51,6 +59,7 @@
     Timer m_timer;
     std::size_t m_responseBytes = 0;
     bool m_frozen = false;
+    bool m_partitioned = false;
     bool m_failed = false;
     bool m_closeAfterWrite = false;
 };
@@ -107,9 +116,16 @@
 auto FaultProxy::ProxiedConnection::forward() -> void
 {
     if (m_frozen || m_proxy.m_faults.partition) {
+        m_partitioned = m_proxy.m_faults.partition;
         stopWatching();
         return;
     }
+    if (std::exchange(m_partitioned, false) && (hasFailed(m_client) || hasFailed(m_target))) {
+        // The bytes that the partition held up are still in the sender's queue on a real network,
+        // which a reset discards.
+        m_proxy.remove(m_id); // destroys this object
+        return;
+    }
     const auto now = m_proxy.m_loop.now();
     const auto delay = m_proxy.m_faults.delay;
     m_failed = m_failed || m_clientToTarget.read(now, delay) == ProxyPipe::Status::Failed;
--- a/tests/standins/fault_proxy.h
+++ b/tests/standins/fault_proxy.h
@@ -28,7 +28,9 @@
 /// connection carries from the target.
 struct ProxyFaults
 {
-    bool partition = false; ///< "partition": closes new connections, stalls established ones
+    /// "partition": closes new connections, stalls established ones. Bytes held up are lost if
+    /// either side resets the connection meanwhile, and delivered after a normal close.
+    bool partition = false;
     milliseconds delay{0}; ///< "delay_ms": delays all bytes in both directions
     std::size_t throttleBytesPerSecond = 0; ///< rate limit; 0: unlimited
     std::optional<std::size_t> closeAfterBytes; ///< "cut_after_bytes": closes at this count
--- a/tests/standins/raw_client.cpp
+++ b/tests/standins/raw_client.cpp
@@ -55,6 +55,12 @@
     m_socket.close();
 }
 
+auto RawClient::reset() -> void
+{
+    resetOnClose(m_socket.get());
+    close();
+}
+
 auto RawClient::readUntil(const std::string &text, milliseconds limit) -> std::string
 {
     const auto until = MonotonicClock::now() + limit;
--- a/tests/standins/raw_client.h
+++ b/tests/standins/raw_client.h
@@ -23,6 +23,8 @@
     auto shutdownWrite() -> void;
     /// Closes the connection.
     auto close() -> void;
+    /// Closes the connection with RST.
+    auto reset() -> void;
     /// Reads until @p text was received, the peer closed the connection, or the limit passed.
     /// @return all bytes received since the last call
     auto readUntil(const std::string &text, milliseconds limit) -> std::string;
