Relay nothing right after a start

Cause: 50 of 83 VMs were killed at 27.0 s, the reader of the topic among them, and started again at 27.5 s, while a configuration came every 60 ms. A VM that has just started has heard of no other, so each of the 50 had rank 0 and relayed every record, of some 8 KB compressed, to 82 VMs. Most links carry 10 Mbit/s. Change: a VM relays nothing for 500 ms after its start; those that start with it have sent their first heartbeats by then. Its relay timeout counts from its start. Until then it reads at most every 200 ms, as all that start read for themselves. Tests: contract.topic_follower_test and gateway_state_test failed without the silence.

--- a/include/figlanding/gateway/relay_schedule.h
+++ b/include/figlanding/gateway/relay_schedule.h
@@ -12,7 +12,9 @@
 /// relays its records; the others read only if no relay arrives in time. The relay timeout grows
 /// with the rank, so that rank 1 takes over within one step of the loss of rank 0. A VM that
 /// receives no relays reads as if it were the only one. A VM that reads only to close a gap in its
-/// own view relays nothing: with a hundred VMs that would be ten thousand datagrams.
+/// own view relays nothing: with a hundred VMs that would be ten thousand datagrams. The same holds
+/// for a VM that has just started: it has not heard of the others yet, so that it seems to have
+/// rank 0, and many VMs may start at the same time.
 
 namespace figlanding {
 
@@ -25,6 +27,11 @@
     /// Timeout of a read of existing records. The store answers these within a few milliseconds, so
     /// no response within this time means that the connection is dead.
     milliseconds readTimeout{400};
+    /// After its start a VM relays nothing for this time. VMs that start with it have sent their
+    /// first heartbeats by then.
+    milliseconds silenceAfterStart{500};
+    /// Minimum time between reads until then, because every VM that starts reads for itself.
+    milliseconds pauseAfterStart{200};
     milliseconds initialRetryDelay{250}; ///< after a failed read; doubled with each further failure
     /// Bounds the staleness of the view once the store is available again.
     milliseconds maxRetryDelay{1000};
@@ -38,6 +45,8 @@
 public:
     explicit RelaySchedule(const RelayScheduleOptions &options);
 
+    /// Records that this VM starts to follow the topic. Its relay timeout begins then.
+    auto onStart(TimePoint now) -> void;
     /// Records that another VM relayed all records up to the end of the topic.
     /// @param readAt when that VM read them
     auto onRelayReceived(TimePoint readAt) -> void;
@@ -49,8 +58,8 @@
     [[nodiscard]] auto delay(std::size_t rank, Duration pause, bool failed, TimePoint now) const
         -> Duration;
 
-    /// Returns whether this VM should relay what it reads: it has rank 0, or no relay arrived
-    /// within its relay timeout.
+    /// Returns whether this VM should relay what it reads: it did not start just now, and it has
+    /// rank 0, or no relay arrived within its relay timeout.
     [[nodiscard]] auto shouldRelay(std::size_t rank, TimePoint now) const -> bool;
     /// Returns whether a read of existing records that was sent at @p sentAt has timed out.
     [[nodiscard]] auto hasTimedOut(TimePoint sentAt, TimePoint now) const -> bool;
@@ -60,9 +69,11 @@
     [[nodiscard]] auto pauseAfterFailure(std::uint32_t failures) const -> Duration;
 
 private:
+    [[nodiscard]] auto isSilent(TimePoint now) const -> bool;
     [[nodiscard]] auto relayTimeout(std::size_t rank) const -> Duration;
 
     RelayScheduleOptions m_options;
+    TimePoint m_startedAt;
     TimePoint m_relayedAt;
     bool m_relayed = false;
 };
--- a/src/core/gateway/relay_schedule.cpp
+++ b/src/core/gateway/relay_schedule.cpp
@@ -24,12 +24,22 @@
     : m_options(options)
 { }
 
+auto RelaySchedule::onStart(TimePoint now) -> void
+{
+    m_startedAt = now;
+}
+
 auto RelaySchedule::onRelayReceived(TimePoint readAt) -> void
 {
     m_relayed = true;
     m_relayedAt = std::max(m_relayedAt, readAt);
 }
 
+auto RelaySchedule::isSilent(TimePoint now) const -> bool
+{
+    return now - m_startedAt < m_options.silenceAfterStart;
+}
+
 auto RelaySchedule::relayTimeout(std::size_t rank) const -> Duration
 {
     return m_options.period + m_options.step * static_cast<int>(delaySteps(rank) + 1);
@@ -39,13 +49,17 @@
     -> Duration
 {
     const auto due = m_relayedAt + relayTimeout(failed ? std::max(rank, linearRanks) : rank);
+    if (!m_relayed && isSilent(now)) {
+        return std::max<Duration>(pause, m_options.pauseAfterStart);
+    }
     const auto reads = rank == 0 && !failed;
     return reads || !m_relayed || due <= now ? pause : std::max(pause, due - now);
 }
 
 auto RelaySchedule::shouldRelay(std::size_t rank, TimePoint now) const -> bool
 {
-    return rank == 0 || m_relayedAt + relayTimeout(rank) <= now;
+    const auto due = std::max(m_startedAt, m_relayedAt) + relayTimeout(rank);
+    return !isSilent(now) && (rank == 0 || due <= now);
 }
 
 auto RelaySchedule::hasTimedOut(TimePoint sentAt, TimePoint now) const -> bool
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -72,6 +72,7 @@
     /// Begins with a read of the snapshot.
     auto start() -> void
     {
+        m_schedule.onStart(m_loop.now());
         readNext();
     }
     /// Reads immediately instead of after the current pause; does nothing while a read is in
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -72,6 +72,7 @@
     EventLoop loop;
     ScriptedStore store{loop};
     std::vector<std::string> applied;
+    std::vector<TopicUpdate> relayed;
     int snapshots = 0;
     std::size_t rank = 0;
     TopicFollower<ScriptedStore> follower{
@@ -86,7 +87,7 @@
              },
          .onRead = [](TimePoint, LogOffset) {},
          .onFailure = [](const Error &) {},
-         .relay = [](const TopicUpdate &) {},
+         .relay = [this](const TopicUpdate &update) { relayed.push_back(update); },
          .rank = [this](const std::string &) { return rank; }}};
 
     // Runs the loop until a condition holds, or for at most @p limit.
@@ -164,3 +165,13 @@
     CHECK(following.follower.end() == 12);
     CHECK(following.snapshots == 1);
 }
+
+TEST_CASE("a VM that has just started, which seems to be the first, relays nothing that it reads")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    following.store.respond(
+        Settled<KeyedPage>(KeyedPage{.end = 11, .next = 11, .records = {{.offset = 10}}}));
+    CHECK(following.relayed.empty());
+    CHECK(following.applied.size() == 1);
+}
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -316,6 +316,19 @@
     CHECK_FALSE(schedule.shouldRelay(90, start + milliseconds(700)));
 }
 
+TEST_CASE("VMs that start together, each unaware of the others, do not all relay what they read")
+{
+    auto schedule = RelaySchedule({.period = milliseconds(500), .step = milliseconds(100)});
+    schedule.onStart(start);
+    const auto pause = milliseconds(1);
+    CHECK(schedule.delay(0, pause, false, start) == milliseconds(200));
+    CHECK(schedule.delay(0, pause, false, start + milliseconds(500)) == pause);
+    CHECK_FALSE(schedule.shouldRelay(0, start + milliseconds(499)));
+    CHECK(schedule.shouldRelay(0, start + milliseconds(500)));
+    CHECK_FALSE(schedule.shouldRelay(2, start + milliseconds(799)));
+    CHECK(schedule.shouldRelay(2, start + milliseconds(800)));
+}
+
 TEST_CASE("without relays, only a few of a hundred VMs take over at the same time")
 {
     auto schedule = RelaySchedule({.period = milliseconds(500), .step = milliseconds(100)});
