Say that a route or API key does not exist only when the configuration is confirmed

Callers do not repeat a request after 404 or 401. Change: a missing route or API key is refused for good only if the view was confirmed within the bound for new configurations (bounds.propagation), by a read or a relay, and no other VM has read more. A configuration that this VM lacks was then published within the bound. Otherwise the request is refused as not run, with 503 and a Retry-After of 0.3 s. Known routes are served from the last view as before, also while the store is down. Tests: contract.request_admission_test and contract.topic_follower_test are new; before, the refusal was 404 or 401 whatever the age.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -89,6 +89,8 @@
                .retryReserve = m_settings.retryReserve * retryShare,
                .randomSeed = std::random_device{}()},
               {.state = [this] { return m_storeView.state(); },
+               .stateConfirmed =
+                   [this] { return m_operatorFollower.isCurrent(m_settings.propagation); },
                .registry = [this]() -> const ServerRegistry & { return m_storeView.registry(); },
                .owner = [this](const auto &service,
                                auto key) { return m_storeView.ownerOf(service, key); },
--- a/src/gateway/request_admission.cpp
+++ b/src/gateway/request_admission.cpp
@@ -5,11 +5,19 @@
 
 namespace figlanding {
 
+namespace {
+
+/// A VM that reads its configuration has it within about this time.
+constexpr milliseconds viewRetryAfter{300};
+
+} // namespace
+
 RequestAdmission::RequestAdmission(const RequestAdmissionOptions &options, TeamLimits &limits,
-                                   StateQuery state)
+                                   StateQuery state, ConfirmationQuery confirmed)
     : m_options(options)
     , m_limits(limits)
     , m_state(std::move(state))
+    , m_confirmed(std::move(confirmed))
     , m_random(options.randomSeed)
 { }
 
@@ -19,13 +27,12 @@
     if (!active.state) {
         return Refusal{.reason = RefusalReason::ViewNotFresh,
                        .detail = "no configuration yet",
-                       .retryAfter = milliseconds(300)};
+                       .retryAfter = viewRetryAfter};
     }
     const auto &request = active.exchange->request();
     active.route = active.state->findRoute(active.caller.host, pathOf(request.target));
     if (active.route == nullptr) {
-        return Refusal{.reason = RefusalReason::NoRoute,
-                       .detail = active.caller.host + " " + request.target};
+        return refusalOfUnknown(RefusalReason::NoRoute, active.caller.host + " " + request.target);
     }
     const auto &route = *active.route;
     active.record.route = route.id;
@@ -48,8 +55,8 @@
     const auto *team = active.state->findTeam(active.caller.apiKey);
     if (team == nullptr) {
         const auto missing = active.caller.apiKey.empty();
-        return Refusal{.reason =
-                           missing ? RefusalReason::MissingTeamKey : RefusalReason::InvalidTeamKey};
+        return refusalOfUnknown(
+            missing ? RefusalReason::MissingTeamKey : RefusalReason::InvalidTeamKey, {});
     }
     active.team = team->id;
     active.record.team = team->id;
@@ -64,6 +71,18 @@
     return std::nullopt;
 }
 
+// Callers do not repeat a request whose route or API key does not exist. While a newer
+// configuration may be in force that has it, they are told to come back.
+auto RequestAdmission::refusalOfUnknown(RefusalReason reason, std::string detail) const -> Refusal
+{
+    if (!m_confirmed || m_confirmed()) {
+        return {.reason = reason, .detail = std::move(detail)};
+    }
+    return {.reason = RefusalReason::ViewNotFresh,
+            .detail = "configuration not confirmed",
+            .retryAfter = viewRetryAfter};
+}
+
 auto RequestAdmission::onEnd(const ActiveRequest &active) -> void
 {
     if (active.usesTeamRate && active.record.verdict == Verdict::NotRun) {
--- a/src/gateway/request_admission.h
+++ b/src/gateway/request_admission.h
@@ -35,8 +35,14 @@
     /// Returns the newest configuration; null until one was read.
     using StateQuery = std::function<std::shared_ptr<const DesiredStateIndex>()>;
 
+    /// Returns whether the configuration is known to be in force.
+    using ConfirmationQuery = std::function<bool()>;
+
     /// @param limits must outlive this object
-    RequestAdmission(const RequestAdmissionOptions &options, TeamLimits &limits, StateQuery state);
+    /// @param confirmed decides whether a request whose route or API key is missing from the
+    /// configuration is refused for good, or for now; empty: for good
+    RequestAdmission(const RequestAdmissionOptions &options, TeamLimits &limits, StateQuery state,
+                     ConfirmationQuery confirmed = {});
 
     /// Fills in the fields of @p active that follow from its caller and the configuration.
     /// @return the refusal if the request is not admitted
@@ -47,10 +53,12 @@
 
 private:
     [[nodiscard]] auto admitTeam(ActiveRequest &active) -> std::optional<Refusal>;
+    [[nodiscard]] auto refusalOfUnknown(RefusalReason reason, std::string detail) const -> Refusal;
 
     RequestAdmissionOptions m_options;
     TeamLimits &m_limits;
     StateQuery m_state;
+    ConfirmationQuery m_confirmed;
     RandomEngine m_random;
     std::uniform_real_distribution<double> m_uniform{0.0, 1.0};
     RetryTimeEstimator m_retryTime;
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -38,6 +38,8 @@
 {
     /// Returns the newest configuration; null until one was read.
     std::function<std::shared_ptr<const DesiredStateIndex>()> state;
+    /// Returns whether that configuration is known to be in force; empty: always.
+    std::function<bool()> stateConfirmed = {};
     std::function<const ServerRegistry &()> registry;
     /// Returns the owner of a key; empty if the key has no owner.
     std::function<ServerIncarnation(const ServiceId &, ShardKey)> owner;
@@ -62,7 +64,8 @@
         , m_slots(slots)
         , m_options(options)
         , m_handlers(std::move(handlers))
-        , m_admission({.randomSeed = m_options.randomSeed}, limits, m_handlers.state)
+        , m_admission({.randomSeed = m_options.randomSeed}, limits, m_handlers.state,
+                      m_handlers.stateConfirmed)
         , m_retries({.ratio = m_options.retryRatio,
                      .reserve = m_options.retryReserve,
                      .minTimeToSend = m_options.minTimeToSend})
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -104,6 +104,7 @@
             return;
         }
         m_needsSnapshot = false;
+        m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - update.age);
         m_schedule.onRelayReceived(m_loop.now() - update.age);
         if (m_timer.active()) {
             scheduleRead(m_options.pause);
@@ -121,6 +122,12 @@
     {
         return m_nextOffset;
     }
+    /// Returns whether all records are applied that were appended longer than @p maxAge ago, as far
+    /// as this VM can know: its view was confirmed since, and no other VM has read more.
+    [[nodiscard]] auto isCurrent(Duration maxAge) const -> bool
+    {
+        return m_hasSnapshot && m_nextOffset >= m_peerEnd && m_loop.now() - m_confirmedAt < maxAge;
+    }
     [[nodiscard]] auto topic() const -> const std::string &
     {
         return m_options.topic;
@@ -282,6 +289,7 @@
             m_nextOffset = snapshot.value().end;
             m_handlers.onSnapshot(snapshot.value().records);
         }
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
         m_handlers.onRead(sentAt, m_nextOffset);
         m_timer.startOnce(m_options.pause);
     }
@@ -298,10 +306,11 @@
         // the network delay.
         const auto elapsed =
             std::chrono::duration_cast<milliseconds>(m_loop.now() - sentAt) - m_options.wait;
+        const auto age = std::max(milliseconds(0), elapsed);
         const auto next = page.value().next;
         const auto records = newestOfEachKey(page.value().records);
         if (shouldRelay(next)) {
-            applyAndRelay(records, next, std::max(milliseconds(0), elapsed));
+            applyAndRelay(records, next, age);
         } else {
             apply(records, next);
         }
@@ -310,6 +319,7 @@
             m_timer.startOnce(Duration::zero());
             return;
         }
+        m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
         m_handlers.onRead(sentAt, m_nextOffset);
         const auto pause = m_options.pause - (m_loop.now() - sentAt);
         scheduleRead(std::max<Duration>(Duration::zero(), pause));
@@ -353,6 +363,7 @@
     std::uint32_t m_consecutiveFailures = 0; ///< failed reads in a row
     std::uint64_t m_readNumber = 0; ///< of the last read; responses to earlier reads are ignored
     TimePoint m_sentAt; ///< when the last read was sent
+    TimePoint m_confirmedAt; ///< all records appended before it are applied
     LogOffset m_nextOffset = 0;
 };
 
--- /dev/null
+++ b/tests/contract/request_admission_test.cpp
@@ -0,0 +1,84 @@
+#include "gateway/request_admission.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace figlanding;
+
+namespace {
+
+// Admits one request by a configuration with one route, which needs an API key.
+class Admitting
+{
+public:
+    auto admit(const std::string &target, const std::string &apiKey) -> std::optional<Refusal>
+    {
+        auto refusal = std::optional<Refusal>{};
+        const auto server = valueOrElse(
+            [&] {
+                return HttpServer::listen(m_loop, {.address = {.ip = "127.0.0.1"}},
+                                          [&](HttpExchange exchange) {
+                                              refusal = admit(std::move(exchange), apiKey);
+                                              m_loop.stop();
+                                          });
+            },
+            [](const Error &) { return std::unique_ptr<HttpServer>(); });
+        REQUIRE(server);
+        m_client.call({.ip = "127.0.0.1", .port = server->port()},
+                      {.method = "GET", .target = target, .headers = {{"host", "h"}}},
+                      {.timeout = milliseconds(5000)}, [](const HttpOutcome &) {});
+        m_loop.run();
+        return refusal;
+    }
+
+    bool confirmed = true;
+
+private:
+    auto admit(HttpExchange exchange, const std::string &apiKey) -> std::optional<Refusal>
+    {
+        auto active = ActiveRequest{};
+        active.exchange = std::make_unique<HttpExchange>(std::move(exchange));
+        active.caller = {.id = "id", .host = "h", .apiKey = apiKey};
+        active.receivedAt = m_loop.now();
+        auto refusal = m_admission.admit(active);
+        active.exchange->respond({.status = 200});
+        return refusal;
+    }
+
+    EventLoop m_loop;
+    HttpClient m_client{m_loop, {}};
+    TeamLimits m_limits{{}};
+    std::shared_ptr<const DesiredStateIndex> m_state = std::make_shared<const DesiredStateIndex>(
+        DesiredState{.version = 1,
+                     .routes = {{.id = RouteId("r"),
+                                 .host = "h",
+                                 .pathPrefix = "/known/",
+                                 .services = {{.service = ServiceId("rooms")}}}},
+                     .services = {{.id = ServiceId("rooms")}},
+                     .teams = {{.id = TeamId("t"), .apiKeys = {"key"}}}});
+    RequestAdmission m_admission{
+        {}, m_limits, [this] { return m_state; }, [this] { return confirmed; }};
+};
+
+auto reasonOf(const std::optional<Refusal> &refusal) -> std::optional<RefusalReason>
+{
+    return refusal ? std::optional(refusal->reason) : std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("a route or API key that an old configuration lacks is not refused for good")
+{
+    auto vm = Admitting();
+    CHECK(reasonOf(vm.admit("/new/", "key")) == RefusalReason::NoRoute);
+    CHECK(reasonOf(vm.admit("/known/", "new")) == RefusalReason::InvalidTeamKey);
+    vm.confirmed = false;
+    for (const auto &refusal : {vm.admit("/new/", "key"), vm.admit("/known/", "new")}) {
+        REQUIRE(reasonOf(refusal) == RefusalReason::ViewNotFresh);
+        CHECK(refusal->retryAfter.has_value());
+    }
+    CHECK_FALSE(vm.admit("/known/", "key"));
+}
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -196,3 +196,33 @@
     CHECK(following.relayed[0].from == 10);
     CHECK(following.relayed[0].next == 13);
 }
+
+TEST_CASE("a view is not current while another VM has read more")
+{
+    auto following = Following{};
+    following.rank = 3;
+    following.startAndFail(0);
+    CHECK(following.follower.isCurrent(milliseconds(1000)));
+    following.follower.onPeerEnd(11);
+    CHECK_FALSE(following.follower.isCurrent(milliseconds(1000)));
+    following.follower.onRelayReceived({.topic = "t", .from = 10, .next = 11});
+    CHECK(following.follower.isCurrent(milliseconds(1000)));
+}
+
+TEST_CASE("a view that neither a read nor a relay has confirmed for some time is not current")
+{
+    auto following = Following{};
+    following.rank = 3;
+    following.startAndFail(0);
+    const auto maxAge = milliseconds(300);
+    const auto isCurrent = [&] { return following.follower.isCurrent(maxAge); };
+    CHECK_FALSE(following.runUntil([&] { return !isCurrent(); }, milliseconds(150)));
+    CHECK(following.runUntil([&] { return !isCurrent(); }, milliseconds(400)));
+    following.follower.onRelayReceived(
+        {.topic = "t", .from = 10, .next = 10, .age = milliseconds(400)});
+    CHECK_FALSE(isCurrent());
+    following.store.respond(Settled<KeyedPage>(KeyedPage{.end = 10, .next = 10}));
+    REQUIRE(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(2000)));
+    following.store.respond(Settled<KeyedPage>(KeyedPage{.end = 10, .next = 10}));
+    CHECK(isCurrent());
+}
