--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -72,6 +74,7 @@
     /// Begins with a read of the snapshot.
     auto start() -> void
     {
+        m_schedule.onStart(m_loop.now());
         readNext();
     }
     /// Reads immediately instead of after the current pause; does nothing while a read is in
@@ -101,6 +104,7 @@
             return;
         }
         m_needsSnapshot = false;
+        m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - update.age);
         m_schedule.onRelayReceived(m_loop.now() - update.age);
         if (m_timer.active()) {
             scheduleRead(m_options.pause);
@@ -118,6 +122,12 @@
     {
         return m_nextOffset;
     }
+    /// Returns whether all records are applied that were appended longer than @p maxAge ago, as far
+    /// as this VM can know: its view was confirmed since, and no other VM has read more.
+    [[nodiscard]] auto isCurrent(Duration maxAge) const -> bool
+    {
+        return m_hasSnapshot && m_nextOffset >= m_peerEnd && m_loop.now() - m_confirmedAt < maxAge;
+    }
     [[nodiscard]] auto topic() const -> const std::string &
     {
         return m_options.topic;
@@ -200,6 +210,21 @@
             && m_schedule.shouldRelay(m_handlers.rank(m_options.topic), m_loop.now());
     }
 
+    // Returns the records that no later one of the same key follows. The others change nothing, but
+    // each would be relayed to every VM; over a slow link that takes longer than a view may be old.
+    static auto newestOfEachKey(const std::vector<KeyedRecord> &records) -> std::vector<KeyedRecord>
+    {
+        auto result = std::vector<KeyedRecord>{};
+        auto keys = std::unordered_set<std::string_view>{};
+        std::for_each(records.rbegin(), records.rend(), [&](const KeyedRecord &record) {
+            if (keys.insert(record.key).second) {
+                result.push_back(record);
+            }
+        });
+        std::reverse(result.begin(), result.end());
+        return result;
+    }
+
     // Applies records from the next offset on and skips earlier ones.
     auto apply(const std::vector<KeyedRecord> &records, LogOffset next) -> void
     {
@@ -264,6 +289,7 @@
             m_nextOffset = snapshot.value().end;
             m_handlers.onSnapshot(snapshot.value().records);
         }
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
         m_handlers.onRead(sentAt, m_nextOffset);
         m_timer.startOnce(m_options.pause);
     }
@@ -280,17 +306,20 @@
         // the network delay.
         const auto elapsed =
             std::chrono::duration_cast<milliseconds>(m_loop.now() - sentAt) - m_options.wait;
-        const auto &content = page.value();
-        if (shouldRelay(content.next)) {
-            applyAndRelay(content.records, content.next, std::max(milliseconds(0), elapsed));
+        const auto age = std::max(milliseconds(0), elapsed);
+        const auto next = page.value().next;
+        const auto records = newestOfEachKey(page.value().records);
+        if (shouldRelay(next)) {
+            applyAndRelay(records, next, age);
         } else {
-            apply(content.records, content.next);
+            apply(records, next);
         }
         const auto caughtUp = m_nextOffset >= page.value().end;
         if (!caughtUp) {
             m_timer.startOnce(Duration::zero());
             return;
         }
+        m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
         m_handlers.onRead(sentAt, m_nextOffset);
         const auto pause = m_options.pause - (m_loop.now() - sentAt);
         scheduleRead(std::max<Duration>(Duration::zero(), pause));
@@ -334,6 +363,7 @@
     std::uint32_t m_consecutiveFailures = 0; ///< failed reads in a row
     std::uint64_t m_readNumber = 0; ///< of the last read; responses to earlier reads are ignored
     TimePoint m_sentAt; ///< when the last read was sent
+    TimePoint m_confirmedAt; ///< all records appended before it are applied
     LogOffset m_nextOffset = 0;
 };
 
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -72,6 +72,7 @@
     EventLoop loop;
     ScriptedStore store{loop};
     std::vector<std::string> applied;
+    std::vector<TopicUpdate> relayed;
     int snapshots = 0;
     std::size_t rank = 0;
     TopicFollower<ScriptedStore> follower{
@@ -86,7 +87,7 @@
              },
          .onRead = [](TimePoint, LogOffset) {},
          .onFailure = [](const Error &) {},
-         .relay = [](const TopicUpdate &) {},
+         .relay = [this](const TopicUpdate &update) { relayed.push_back(update); },
          .rank = [this](const std::string &) { return rank; }}};
 
     // Runs the loop until a condition holds, or for at most @p limit.
@@ -164,3 +165,64 @@
     CHECK(following.follower.end() == 12);
     CHECK(following.snapshots == 1);
 }
+
+TEST_CASE("a VM that has just started, which seems to be the first, relays nothing that it reads")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    following.store.respond(
+        Settled<KeyedPage>(KeyedPage{.end = 11, .next = 11, .records = {{.offset = 10}}}));
+    CHECK(following.relayed.empty());
+    CHECK(following.applied.size() == 1);
+}
+
+TEST_CASE("a VM that reads several versions of a record at once relays only the newest")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    const auto silenceAfterStart = milliseconds(600);
+    CHECK_FALSE(following.runUntil([] { return false; }, silenceAfterStart));
+    const auto large = std::string(40'000, 'x');
+    const auto newest = KeyedRecord{.offset = 12, .key = "config", .value = large + "3"};
+    following.store.respond(
+        Settled<KeyedPage>(KeyedPage{.end = 13,
+                                     .next = 13,
+                                     .records = {{.offset = 10, .key = "config", .value = large},
+                                                 {.offset = 11, .key = "config", .value = large},
+                                                 newest}}));
+    CHECK(following.applied == std::vector<std::string>{"config"});
+    REQUIRE(following.relayed.size() == 1);
+    CHECK(following.relayed[0].records == std::vector<KeyedRecord>{newest});
+    CHECK(following.relayed[0].from == 10);
+    CHECK(following.relayed[0].next == 13);
+}
+
+TEST_CASE("a view is not current while another VM has read more")
+{
+    auto following = Following{};
+    following.rank = 3;
+    following.startAndFail(0);
+    CHECK(following.follower.isCurrent(milliseconds(1000)));
+    following.follower.onPeerEnd(11);
+    CHECK_FALSE(following.follower.isCurrent(milliseconds(1000)));
+    following.follower.onRelayReceived({.topic = "t", .from = 10, .next = 11});
+    CHECK(following.follower.isCurrent(milliseconds(1000)));
+}
+
+TEST_CASE("a view that neither a read nor a relay has confirmed for some time is not current")
+{
+    auto following = Following{};
+    following.rank = 3;
+    following.startAndFail(0);
+    const auto maxAge = milliseconds(300);
+    const auto isCurrent = [&] { return following.follower.isCurrent(maxAge); };
+    CHECK_FALSE(following.runUntil([&] { return !isCurrent(); }, milliseconds(150)));
+    CHECK(following.runUntil([&] { return !isCurrent(); }, milliseconds(400)));
+    following.follower.onRelayReceived(
+        {.topic = "t", .from = 10, .next = 10, .age = milliseconds(400)});
+    CHECK_FALSE(isCurrent());
+    following.store.respond(Settled<KeyedPage>(KeyedPage{.end = 10, .next = 10}));
+    REQUIRE(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(2000)));
+    following.store.respond(Settled<KeyedPage>(KeyedPage{.end = 10, .next = 10}));
+    CHECK(isCurrent());
+}
