Free the Idempotency-Key of a request cancelled in the queue

Callers saw: a caller disconnected while its request with an Idempotency-Key waited for a slot, and sent the request again. It was refused as a duplicate in flight, for as long as the dispatching VM ran, although the request had never been sent.

Cause: Dispatcher::cancel() removed a queued request without an end for its key, and the store keeps entries in flight without a limit.

Change: the end is recorded as not run, which removes the entry. A request that was already sent keeps its key until its result, as before.

--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -322,6 +322,7 @@
         if (serverEntry != m_servers.end()) {
             serverEntry->second->admission().cancelQueued(id);
         }
+        finishIdempotent(call.request, Refusal{.verdict = Verdict::NotRun});
         m_calls.erase(found);
         return;
     }
