Keep the log stand-in alive when a reader leaves during a slow answer

Seen: the log stand-in crashed or stopped answering after a long-polling read had ended, its response was delayed by the fault slow_ms, and the reader closed the connection meanwhile.

Cause: the read had left the list of waiting reads, but its callback for an abandoned request still erased it by the old iterator.

Change: the callback is removed together with the entry.

--- a/tests/contract/log_standin_test.cpp
+++ b/tests/contract/log_standin_test.cpp
@@ -46,6 +46,21 @@
     waiting.join();
 }
 
+TEST_CASE("a read abandoned while its slow answer is due leaves other reads alone")
+{
+    StandinProcess log("log-standin", {});
+    log.setFaults({{"slow_ms", 100}});
+    const auto address = SocketAddress{.ip = "127.0.0.1", .port = log.port()};
+    CHECK(callAndWait(address, {.target = "/v1/read?from=1&wait_ms=10"},
+                      {.timeout = milliseconds(50)})
+              .verdict
+          == Verdict::MayHaveRun);
+    log.setFaults(nlohmann::json::object());
+    auto waiting = std::thread([&] { append(log, 1); });
+    CHECK(log.json("/v1/read?from=1&wait_ms=4000")["records"].size() == 1);
+    waiting.join();
+}
+
 TEST_CASE("retention removes the oldest records")
 {
     StandinProcess byCount("log-standin", {"--keep-records", "2"});
--- a/tests/standins/log_standin.cpp
+++ b/tests/standins/log_standin.cpp
@@ -200,8 +200,9 @@
             ++position;
             continue;
         }
-        const auto read = *position;
+        auto read = std::move(*position);
         position = m_waitingReads.erase(position);
+        read.exchange.onAbandoned(nullptr); // would erase it again while a slow response is due
         respond(read.exchange, readResponse(read.from, read.max));
     }
 }
