Keep a key that no server can serve alone at its server

Callers of a very hot key got 421, no slot or a late answer each time that it moved, twice a second.

Change: a move must also leave the target below the load at which a server has no free slot, or below the tolerated multiple of the fair share if the whole service is above that. Other keys of the hot key's server move away as before.

The test failed before: key 100 changed its owner.

--- a/src/core/gateway/key_ownership.cpp
+++ b/src/core/gateway/key_ownership.cpp
@@ -380,10 +380,11 @@
             break;
         }
         const auto wanted = std::min(excess, headroom);
+        const auto acceptable = std::max(options.saturatedLoad, fair * options.tolerance);
         const auto fits = [&](const std::optional<KeyRange> &part) {
             return part
                 && (to.load + candidateLoads.loadOf(*part)) / to.candidate->capacity
-                < from->relativeLoad();
+                < std::min(from->relativeLoad(), acceptable);
         };
         auto part = shortestRun(planned, candidateLoads, from->candidate->incarnation, wanted);
         if (!fits(part)) {
--- a/tests/unit/key_ownership_test.cpp
+++ b/tests/unit/key_ownership_test.cpp
@@ -122,6 +122,20 @@
     }
 }
 
+TEST_CASE("a key too hot for any server does not move to one that appears to be faster")
+{
+    auto loads = std::vector<float>(shardKeyCount, 0.002F);
+    loads[100] = 300.0F;
+    auto candidates = servers(4);
+    const auto before = evenTable(4);
+    for (auto &candidate : candidates) {
+        candidate.capacity = candidate.incarnation == findRange(before, 100)->owner ? 1.5 : 5.0;
+    }
+    const auto after = rebalanced(before, candidates, loads, 3);
+    CHECK(findRange(after, 100)->owner == findRange(before, 100)->owner);
+    CHECK(loadOf(after, findRange(after, 100)->owner, loads) < 310.0);
+}
+
 TEST_CASE("one server that cannot be relieved does not keep other servers from being relieved")
 {
     auto loads = std::vector<float>(shardKeyCount, 0.002F);
