Relieve busy servers also while a key table is long

Callers of a service with many hot keys were refused for seconds while other servers, among them new ones, had few keys.

Cause: above three ranges a server no move was planned at all except merges.

Change: a long table still allows moves of whole ranges, which make it no longer. With three ranges a server, the range whose load is closest to the wanted one is precise enough.

--- a/include/figlanding/gateway/key_ownership.h
+++ b/include/figlanding/gateway/key_ownership.h
@@ -122,7 +122,7 @@
     /// Ranges per server above which small ranges are merged with their neighbours. Each range
     /// costs a call per renewal and a row in every record.
     double targetRangesPerServer = 1.5;
-    double maxRangesPerServer = 3.0; ///< above this no range is split
+    double maxRangesPerServer = 3.0; ///< above this only whole ranges move
     /// Largest load and number of keys to merge, as a fraction of the fair share.
     double smallRangeShare = 0.1;
     std::uint32_t minMoveLimit = 8; ///< limit of moves per plan in a small fleet
@@ -131,6 +131,9 @@
     auto operator==(const KeyPlanOptions &) const -> bool = default;
 };
 
+/// Whether a plan may divide ranges, or moves whole ranges only.
+enum class RangeSplits { Allowed, Forbidden };
+
 /// Returns the table after a move.
 [[nodiscard]] auto withMove(OwnershipTable table, const PlannedMove &move) -> OwnershipTable;
 /// Returns how many ranges may move at the same time in a fleet of @p servers.
@@ -148,9 +151,11 @@
 /// Handles a few hot keys, close to each other, that together exceed the capacity of one server:
 /// the shortest run of keys with the wanted load is moved. This separates the hot keys and changes
 /// the owner of few keys.
+/// @param splits Forbidden for a table that must not get longer
 [[nodiscard]] auto planRebalance(const OwnershipTable &table,
                                  std::span<const OwnerCandidate> candidates,
-                                 std::span<const float> loads, const KeyPlanOptions &options)
+                                 std::span<const float> loads, const KeyPlanOptions &options,
+                                 RangeSplits splits = RangeSplits::Allowed)
     -> std::vector<PlannedMove>;
 
 /// Plans moves of lightly loaded, narrow ranges to the owner of an adjacent range if the table has
--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -162,10 +162,10 @@
     const auto loads = loadsOf(id, inputs);
     const auto &plan = m_options.plan;
     const auto maxRanges = plan.maxRangesPerServer * static_cast<double>(servers.size());
-    auto moves = std::vector<PlannedMove>{};
-    if (static_cast<double>(planned.ranges.size()) <= std::max(maxRanges, maxRangesFloor)) {
-        moves = planRebalance(planned, servers, loads, plan);
-    }
+    const auto isLong =
+        static_cast<double>(planned.ranges.size()) > std::max(maxRanges, maxRangesFloor);
+    auto moves = planRebalance(planned, servers, loads, plan,
+                               isLong ? RangeSplits::Forbidden : RangeSplits::Allowed);
     for (const auto &move : moves) {
         planned = withMove(std::move(planned), move);
     }
--- a/src/core/gateway/key_ownership.cpp
+++ b/src/core/gateway/key_ownership.cpp
@@ -209,6 +209,22 @@
     return best;
 }
 
+// Returns the range of @p owner whose load is closest to @p wanted.
+auto closestRange(const OwnershipTable &table, const CandidateLoads &candidateLoads,
+                  const ServerIncarnation &owner, double wanted) -> std::optional<KeyRange>
+{
+    auto best = std::optional<KeyRange>{};
+    auto bestDistance = 0.0;
+    for (const auto &range : table.ranges) {
+        const auto distance = std::abs(candidateLoads.loadOf(range.keys) - wanted);
+        if (range.owner == owner && (!best || distance < bestDistance)) {
+            best = range.keys;
+            bestDistance = distance;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 auto unownedTable() -> OwnershipTable
@@ -349,7 +365,7 @@
 }
 
 auto planRebalance(const OwnershipTable &table, std::span<const OwnerCandidate> candidates,
-                   std::span<const float> loads, const KeyPlanOptions &options)
+                   std::span<const float> loads, const KeyPlanOptions &options, RangeSplits splits)
     -> std::vector<PlannedMove>
 {
     auto moves = std::vector<PlannedMove>{};
@@ -386,10 +402,13 @@
                 && (to.load + candidateLoads.loadOf(*part)) / to.candidate->capacity
                 < std::min(from->relativeLoad(), acceptable);
         };
-        auto part = shortestRun(planned, candidateLoads, from->candidate->incarnation, wanted);
-        if (!fits(part)) {
+        const auto &owner = from->candidate->incarnation;
+        const auto whole = splits == RangeSplits::Forbidden;
+        auto part = whole ? closestRange(planned, candidateLoads, owner, wanted)
+                          : shortestRun(planned, candidateLoads, owner, wanted);
+        if (!whole && !fits(part)) {
             // A single key is too hot for the target: other keys of its server move instead.
-            part = heaviestRunWithin(planned, candidateLoads, from->candidate->incarnation, wanted);
+            part = heaviestRunWithin(planned, candidateLoads, owner, wanted);
         }
         const auto load = part ? candidateLoads.loadOf(*part) : 0.0;
         if (!fits(part) || load < wanted * options.minGain) {
--- a/tests/unit/key_ownership_test.cpp
+++ b/tests/unit/key_ownership_test.cpp
@@ -159,6 +159,21 @@
     CHECK(loadOf(after, incarnation(4), loads) > 0.3 * 6.5 / 5);
 }
 
+TEST_CASE("a busy server is relieved of whole ranges if the table must not get longer")
+{
+    auto table = evenTable(20);
+    for (ShardKey key = 0; key < 60'000; key += 500) {
+        table = withMoves(std::move(table), {{.keys = {key, key + 20}, .to = incarnation(7)}});
+    }
+    auto loads = std::vector<float>(shardKeyCount, 0.001F);
+    for (ShardKey key = 0; key < 60'000; key += 500) {
+        loads[key] = 2.0F;
+    }
+    const auto moves = planRebalance(table, servers(20), loads, {}, RangeSplits::Forbidden);
+    CHECK(moves.size() == maxMoves(20, {}));
+    CHECK(withMoves(table, moves).ranges.size() == table.ranges.size());
+}
+
 TEST_CASE("servers with little load keep their keys")
 {
     auto loads = std::vector<float>(shardKeyCount, 0.00001F);
--- a/tests/unit/key_rebalance_test.cpp
+++ b/tests/unit/key_rebalance_test.cpp
@@ -23,7 +23,8 @@
 class FleetFixture
 {
 public:
-    explicit FleetFixture(int servers)
+    /// @param table owners recorded by an earlier controller
+    explicit FleetFixture(int servers, const OwnershipTable &table = {})
     {
         for (auto i = 0; i < servers; ++i) {
             m_registry.announce({.id = serverName(i),
@@ -35,7 +36,12 @@
                                 m_now);
         }
         m_controller.setElected(true);
-        m_controller.onView({.end = 1}, m_now);
+        auto view = OwnershipView{.end = 1};
+        if (!table.ranges.empty()) {
+            view.tables[service] = table;
+            m_table = table;
+        }
+        m_controller.onView(view, m_now);
         run(seconds(3));
     }
 
@@ -225,6 +231,25 @@
     CHECK(fleet.releasesWithLowFence() == 0);
 }
 
+TEST_CASE("a busy server of a service with too many ranges is relieved")
+{
+    constexpr auto width = ShardKey{512};
+    auto table = OwnershipTable{};
+    for (ShardKey key = 0; key < shardKeyCount; key += width) {
+        const auto number = static_cast<int>(key / width) % 12;
+        table.ranges.push_back({.keys = {key, key + width - 1},
+                                .owner = {.server = serverName(number), .startedUnixMs = 1},
+                                .fence = 1});
+    }
+    auto fleet = FleetFixture(12, table);
+    for (ShardKey key = 0; key < shardKeyCount; ++key) {
+        fleet.setLoad(key, key / width % 12 == 3 ? 0.02F : 0.001F);
+    }
+    const auto before = fleet.loadOf(serverName(3));
+    fleet.run(seconds(1));
+    CHECK(fleet.loadOf(serverName(3)) < 0.8 * before);
+}
+
 TEST_CASE("a server with one fast response does not get more keys than it can serve")
 {
     constexpr auto servers = 40;
