--- a/include/figlanding/gateway/key_ownership.h
+++ b/include/figlanding/gateway/key_ownership.h
@@ -112,6 +112,9 @@
     /// Load per capacity below which no load is moved away from a server, as a move costs more than
     /// it gains.
     double minBusyLoad = 5.0;
+    /// Load per capacity at which a server has no free slot. A key that brings any server above it
+    /// stays where it is: it would move again and again, and nobody can serve it meanwhile.
+    double saturatedLoad = 13.3;
     /// A server below this fraction of its fair share of the load, and of the number of keys,
     /// always gets keys: it has just joined.
     double idleShare = 0.3;
@@ -119,7 +122,7 @@
     /// Ranges per server above which small ranges are merged with their neighbours. Each range
     /// costs a call per renewal and a row in every record.
     double targetRangesPerServer = 1.5;
-    double maxRangesPerServer = 3.0; ///< above this no range is split
+    double maxRangesPerServer = 3.0; ///< above this only whole ranges move
     /// Largest load and number of keys to merge, as a fraction of the fair share.
     double smallRangeShare = 0.1;
     std::uint32_t minMoveLimit = 8; ///< limit of moves per plan in a small fleet
@@ -128,6 +131,9 @@
     auto operator==(const KeyPlanOptions &) const -> bool = default;
 };
 
+/// Whether a plan may divide ranges, or moves whole ranges only.
+enum class RangeSplits { Allowed, Forbidden };
+
 /// Returns the table after a move.
 [[nodiscard]] auto withMove(OwnershipTable table, const PlannedMove &move) -> OwnershipTable;
 /// Returns how many ranges may move at the same time in a fleet of @p servers.
@@ -145,9 +151,11 @@
 /// Handles a few hot keys, close to each other, that together exceed the capacity of one server:
 /// the shortest run of keys with the wanted load is moved. This separates the hot keys and changes
 /// the owner of few keys.
+/// @param splits Forbidden for a table that must not get longer
 [[nodiscard]] auto planRebalance(const OwnershipTable &table,
                                  std::span<const OwnerCandidate> candidates,
-                                 std::span<const float> loads, const KeyPlanOptions &options)
+                                 std::span<const float> loads, const KeyPlanOptions &options,
+                                 RangeSplits splits = RangeSplits::Allowed)
     -> std::vector<PlannedMove>;
 
 /// Plans moves of lightly loaded, narrow ranges to the owner of an adjacent range if the table has
--- a/tests/unit/key_ownership_test.cpp
+++ b/tests/unit/key_ownership_test.cpp
@@ -122,6 +122,20 @@
     }
 }
 
+TEST_CASE("a key too hot for any server does not move to one that appears to be faster")
+{
+    auto loads = std::vector<float>(shardKeyCount, 0.002F);
+    loads[100] = 300.0F;
+    auto candidates = servers(4);
+    const auto before = evenTable(4);
+    for (auto &candidate : candidates) {
+        candidate.capacity = candidate.incarnation == findRange(before, 100)->owner ? 1.5 : 5.0;
+    }
+    const auto after = rebalanced(before, candidates, loads, 3);
+    CHECK(findRange(after, 100)->owner == findRange(before, 100)->owner);
+    CHECK(loadOf(after, findRange(after, 100)->owner, loads) < 310.0);
+}
+
 TEST_CASE("one server that cannot be relieved does not keep other servers from being relieved")
 {
     auto loads = std::vector<float>(shardKeyCount, 0.002F);
@@ -145,6 +159,21 @@
     CHECK(loadOf(after, incarnation(4), loads) > 0.3 * 6.5 / 5);
 }
 
+TEST_CASE("a busy server is relieved of whole ranges if the table must not get longer")
+{
+    auto table = evenTable(20);
+    for (ShardKey key = 0; key < 60'000; key += 500) {
+        table = withMoves(std::move(table), {{.keys = {key, key + 20}, .to = incarnation(7)}});
+    }
+    auto loads = std::vector<float>(shardKeyCount, 0.001F);
+    for (ShardKey key = 0; key < 60'000; key += 500) {
+        loads[key] = 2.0F;
+    }
+    const auto moves = planRebalance(table, servers(20), loads, {}, RangeSplits::Forbidden);
+    CHECK(moves.size() == maxMoves(20, {}));
+    CHECK(withMoves(table, moves).ranges.size() == table.ranges.size());
+}
+
 TEST_CASE("servers with little load keep their keys")
 {
     auto loads = std::vector<float>(shardKeyCount, 0.00001F);
