--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,17 +2,17 @@
 
 #include "daemon/admin_api.h"
 #include "daemon/controller_driver.h"
-#include "daemon/crash_message.h"
 #include "daemon/dispatcher.h"
 #include "daemon/entry_router.h"
-#include "daemon/hand_over_message.h"
+#include "daemon/graceful_shutdown.h"
 #include "daemon/log_follower.h"
 #include "daemon/log_writer.h"
 #include "daemon/peer_mesh.h"
+#include "daemon/peer_requests.h"
+#include "daemon/snapshot_publisher.h"
 #include "daemon/team_tokens.h"
 #include "daemon/vm_list_poller.h"
 #include "figlanding/freshness.h"
-#include "figlanding/snapshot.h"
 #include "io/log.h"
 #include "io/metrics.h"
 #include "io/random_bytes.h"
@@ -22,10 +22,6 @@
 namespace {
 
 constexpr std::size_t incarnationBytes = 8;
-constexpr milliseconds leaveCheckInterval{20};
-constexpr milliseconds maxMemberRemovalWait{3000};
-constexpr seconds snapshotCheckInterval{1};
-constexpr std::size_t snapshotIdBytes = 8;
 
 auto unixNow() -> milliseconds
 {
@@ -53,19 +49,15 @@
     std::unique_ptr<PeerMesh> mesh;
     std::unique_ptr<Dispatcher> dispatcher;
     std::unique_ptr<TeamTokens> tokens;
+    std::unique_ptr<PeerRequestHandler> peerRequests;
     std::unique_ptr<EntryRouter> router;
     std::unique_ptr<ControllerDriver> controller;
     std::unique_ptr<VmListPoller> vmList;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> adminServer;
     std::set<SocketAddress> listedPeers;
-    bool leaving = false;
-    TimePoint leavingSince;
-    Timer leaveTimer;
-    Timer snapshotTimer;
-    /// Last offset covered by the newest complete snapshot in the log.
-    LogOffset snapshotOffset = 0;
-    TimePoint snapshotSeenAt; ///< when that snapshot was first seen
+    SnapshotPublisher snapshots;
+    GracefulShutdown shutdown;
 
     Impl(EventLoop &eventLoop, DaemonSettings daemonSettings);
 
@@ -77,17 +69,11 @@
     auto onVmList(const std::vector<VmListEntry> &entries) -> void;
     auto onPeerReport(const PeerReport &report) -> void;
     auto onHeartbeatResponse(const PeerReport &report, TimePoint sentAt) -> void;
-    auto onPeerRequest(PeerExchange exchange) -> void;
-    auto dispatchForPeer(PeerExchange exchange) -> void;
-    auto receiveHandOver(PeerExchange exchange) -> void;
-    auto sendHandOver(const BackendServerId &server, const VmId &to,
-                      const AdmissionHandOver &handOver) -> void;
     auto onCrash(const CrashFindings &findings) -> void;
-    auto receiveCrashReport(PeerExchange exchange) -> void;
-    auto publishSnapshotIfDue() -> void;
     auto onRequestEnd(const RequestEndEvent &event) -> void;
     auto updatePeers() -> void;
-    auto checkLeaving() -> void;
+    [[nodiscard]] auto mayWriteSnapshot() const -> bool;
+    [[nodiscard]] auto isIdle() const -> bool;
     [[nodiscard]] auto isFresh() const -> bool
     {
         return freshness.isFresh(loop.now());
@@ -120,9 +106,17 @@
                 .onRead = [this](TimePoint sentAt, LogOffset tail) { onLogRead(sentAt, tail); },
                 .onError = [this](const Error &error) { onLogError(error); }})
     , writer(loop, logService, {.writer = settings.vm.value() + "-" + incarnation})
-    , leaveTimer(loop, [this] { checkLeaving(); })
-    , snapshotTimer(loop, [this] { publishSnapshotIfDue(); })
-    , snapshotSeenAt(startedAt)
+    , snapshots(loop,
+                {.state = [this]() -> const ClusterState & { return follower.state(); },
+                 .cursor = [this]() -> const LogCursor & { return follower.cursor(); },
+                 .mayWrite = [this] { return mayWriteSnapshot(); },
+                 .append = [this](RecordPayload payload) { append(std::move(payload)); }})
+    , shutdown(loop, settings.drainTimeout,
+               {.isMember = [this] { return isMember(); },
+                .drainCallers = [this] { callerServer->drain(); },
+                .pendingRequests = [this] { return router->pending(); },
+                .idle = [this] { return isIdle(); },
+                .onEnd = [this] { loop.stop(); }})
 { }
 
 auto Daemon::Impl::createComponents() -> void
@@ -133,17 +127,19 @@
         loop, serverClient,
         DispatcherOptions{
             .self = settings.vm, .incarnation = incarnation, .timing = settings.timing},
-        DispatcherHandlers{
-            .state = state,
-            .viewIsFresh = fresh,
-            .onBootId =
-                [this](const auto &server, const auto &bootId) {
-                    controller->controller().onBootId(server, bootId);
-                },
-            .onHandOver = [this](const auto &server, const auto &to,
-                                 const auto &handOver) { sendHandOver(server, to, handOver); },
-            .onCrash = [this](const CrashFindings &findings) { onCrash(findings); },
-            .unixNow = [] { return unixNow(); }});
+        DispatcherHandlers{.state = state,
+                           .viewIsFresh = fresh,
+                           .onBootId =
+                               [this](const auto &server, const auto &bootId) {
+                                   controller->controller().onBootId(server, bootId);
+                               },
+                           .onHandOver =
+                               [this](const auto &server, const auto &to, const auto &handOver) {
+                                   sendHandOver(*mesh, to, {.server = server, .handOver = handOver},
+                                                loop.now(), settings.timing.viewLifetime);
+                               },
+                           .onCrash = [this](const CrashFindings &findings) { onCrash(findings); },
+                           .unixNow = [] { return unixNow(); }});
     tokens = std::make_unique<TeamTokens>(
         loop,
         TeamTokensOptions{
@@ -151,6 +147,7 @@
         TeamTokensHandlers{.state = state, .viewIsFresh = fresh, .linkTo = [this](const VmId &vm) {
                                return mesh->linkTo(vm);
                            }});
+    peerRequests = std::make_unique<PeerRequestHandler>(loop, *dispatcher, *tokens);
     router = std::make_unique<EntryRouter>(
         loop, EntryRouterOptions{.self = settings.vm, .randomSeed = std::random_device{}()},
         EntryRouterHandlers{.state = state,
@@ -196,7 +193,8 @@
                  [this](const PeerReport &report, TimePoint sentAt) {
                      onHeartbeatResponse(report, sentAt);
                  },
-             .onRequest = [this](PeerExchange exchange) { onPeerRequest(std::move(exchange)); }}));
+             .onRequest =
+                 [this](PeerExchange exchange) { peerRequests->handle(std::move(exchange)); }}));
     createComponents();
     BOOST_LEAF_ASSIGN(
         callerServer,
@@ -286,98 +284,24 @@
             .appliedOffset = follower.state().offset,
             .drainedOffset = dispatcher->drainedOffset(),
             .canConfirm = freshness.canConfirm(),
-            .leaving = leaving,
+            .leaving = shutdown.begun(),
             .logReachable = logReachable,
             .suspects = {suspects.begin(), suspects.end()},
             .suspectedVms = controller->controller().silentMembers(follower.state(), loop.now())};
 }
 
-auto Daemon::Impl::onPeerRequest(PeerExchange exchange) -> void
-{
-    const auto &target = exchange.request().target;
-    if (target == dispatchPath) {
-        dispatchForPeer(std::move(exchange));
-    } else if (target == tokenRequestPath || target == tokenHandOverPath) {
-        tokens->onPeerRequest(std::move(exchange));
-    } else if (target == admissionHandOverPath) {
-        receiveHandOver(std::move(exchange));
-    } else if (target == crashReportPath) {
-        receiveCrashReport(std::move(exchange));
-    } else {
-        exchange.respond(problemResponse(404, "unknown message", target));
-    }
-}
-
-auto Daemon::Impl::dispatchForPeer(PeerExchange exchange) -> void
-{
-    auto request = settle([&] { return decodeDispatchRequest(exchange.request()); });
-    if (!request) {
-        exchange.respond(problemResponse(400, "malformed request", describe(request.error())));
-        return;
-    }
-    const auto requestId = request.value().requestId;
-    const auto ended = std::make_shared<bool>(false);
-    const auto id = dispatcher->dispatch(
-        request.value(), [exchange, requestId, ended](const DispatchResult &result) mutable {
-            *ended = true;
-            exchange.respond(encodeDispatchResult(result, requestId));
-        });
-    if (!*ended) {
-        exchange.onAbandoned([this, id] { dispatcher->cancel(id); });
-    }
-}
-
-auto Daemon::Impl::receiveHandOver(PeerExchange exchange) -> void
-{
-    const auto message =
-        settle([&] { return decodeHandOver(exchange.request().body, loop.now()); });
-    if (message) {
-        dispatcher->acceptHandOver(message.value().server, message.value().handOver);
-    }
-    exchange.respond({.status = message ? 204 : 400});
-}
-
-auto Daemon::Impl::sendHandOver(const BackendServerId &server, const VmId &to,
-                                const AdmissionHandOver &handOver) -> void
-{
-    auto *link = mesh->linkTo(to);
-    if (link != nullptr) {
-        link->request(
-            {.method = "POST",
-             .target = std::string(admissionHandOverPath),
-             .body = encodeHandOver({.server = server, .handOver = handOver}, loop.now())},
-            settings.timing.viewLifetime, [](const PeerOutcome &) {});
-    }
-}
-
 auto Daemon::Impl::onCrash(const CrashFindings &findings) -> void
 {
     logEvent(LogLevel::Warning, "server-crashed",
              {{"server", findings.report.server.value()},
               {"requests_in_flight", findings.report.digests.size()},
               {"quarantines", findings.proposals.size()}});
-    for (const auto &[vm, member] : follower.state().members) {
-        if (auto *link = mesh->linkTo(vm)) {
-            link->request({.method = "POST",
-                           .target = std::string(crashReportPath),
-                           .body = encodeCrashReport(findings.report)},
-                          settings.timing.viewLifetime, [](const PeerOutcome &) {});
-        }
-    }
+    broadcastCrashReport(*mesh, follower.state(), findings.report, settings.timing.viewLifetime);
     for (const auto &proposal : findings.proposals) {
         append(proposal);
     }
 }
 
-auto Daemon::Impl::receiveCrashReport(PeerExchange exchange) -> void
-{
-    const auto report = settle([&] { return decodeCrashReport(exchange.request().body); });
-    if (report) {
-        dispatcher->acceptCrashReport(report.value());
-    }
-    exchange.respond({.status = report ? 204 : 400});
-}
-
 auto Daemon::Impl::append(RecordPayload payload) -> void
 {
     const auto queued = settle([&] { return writer.append(std::move(payload)); });
@@ -386,31 +310,10 @@
     }
 }
 
-auto Daemon::Impl::publishSnapshotIfDue() -> void
+auto Daemon::Impl::mayWriteSnapshot() const -> bool
 {
-    const auto &cursor = follower.cursor();
-    const auto now = loop.now();
-    if (cursor.snapshotOffset() != snapshotOffset) {
-        snapshotOffset = cursor.snapshotOffset();
-        snapshotSeenAt = now;
-    }
-    const auto mayWrite = isFresh() && controller->controller().isController(follower.state())
+    return isFresh() && controller->controller().isController(follower.state())
         && writer.queued() == 0;
-    const auto due = isSnapshotDue({.first = cursor.first(),
-                                    .tail = cursor.tail(),
-                                    .covers = snapshotOffset,
-                                    .age = now - snapshotSeenAt},
-                                   {});
-    if (!mayWrite || !due) {
-        return;
-    }
-    const auto &state = follower.state();
-    const auto chunks =
-        makeSnapshot(state, {.term = state.term, .snapshotId = randomHex(snapshotIdBytes)});
-    logEvent(LogLevel::Info, "snapshot", {{"covers", state.offset}, {"chunks", chunks.size()}});
-    for (const auto &chunk : chunks) {
-        append(chunk);
-    }
 }
 
 auto Daemon::Impl::onRequestEnd(const RequestEndEvent &event) -> void
@@ -465,30 +368,16 @@
     return {.vm = settings.vm,
             .state = follower.state(),
             .fresh = isFresh(),
-            .leaving = leaving,
+            .leaving = shutdown.begun(),
             .member = isMember(),
             .logReachable = logReachable,
             .adminAddresses = adminAddresses(),
             .metricsText = metrics.text()};
 }
 
-auto Daemon::Impl::checkLeaving() -> void
+auto Daemon::Impl::isIdle() const -> bool
 {
-    const auto waited = loop.now() - leavingSince;
-    if (waited > settings.drainTimeout) {
-        logEvent(LogLevel::Warning, "drain-timeout", {{"pending", router->pending()}});
-        loop.stop();
-        return;
-    }
-    const auto removed = !isMember() || waited > maxMemberRemovalWait;
-    if (!removed) {
-        return;
-    }
-    callerServer->drain();
-    if (router->pending() == 0 && dispatcher->pending() == 0 && callerServer->pending() == 0) {
-        logEvent(LogLevel::Info, "stopped");
-        loop.stop();
-    }
+    return router->pending() == 0 && dispatcher->pending() == 0 && callerServer->pending() == 0;
 }
 
 Daemon::Daemon(EventLoop &loop, DaemonSettings settings)
@@ -506,19 +395,14 @@
         impl->settings.vmList.pollInterval,
         [impl](const std::vector<VmListEntry> &entries) { impl->onVmList(entries); });
     impl->follower.start();
-    impl->snapshotTimer.startRepeating(snapshotCheckInterval);
+    impl->snapshots.start();
     logEvent(LogLevel::Info, "started", {{"incarnation", impl->incarnation}});
     return {};
 }
 
 auto Daemon::leave() -> void
 {
-    if (std::exchange(m_impl->leaving, true)) {
-        return;
-    }
-    logEvent(LogLevel::Info, "leaving");
-    m_impl->leavingSince = m_impl->loop.now();
-    m_impl->leaveTimer.startRepeating(leaveCheckInterval);
+    m_impl->shutdown.begin();
 }
 
 } // namespace figlanding
