Say for how long a server was cold when it got too many requests

Change: the violation of the server stand-in, and the soak's line, tell for how long the server was cold and since when a health response has reported it. The check and its bound are the same.

A new test of contract.backend_server_standin_test covers a reported and an unreported phase.

--- a/tests/contract/backend_server_standin_test.cpp
+++ b/tests/contract/backend_server_standin_test.cpp
@@ -172,6 +172,28 @@
     first.join();
     REQUIRE(historyOf(server).violations.size() == 1);
     CHECK(historyOf(server).violations[0].kind == "cold");
+    CHECK(historyOf(server).violations[0].detail.find("reported for") != std::string::npos);
+}
+
+TEST_CASE("a request beyond the cold limit tells whether the cold phase had been reported")
+{
+    StandinProcess server("backend-server-standin", {"--slots", "4", "--cold-slots", "1"});
+    const auto detailOfExcess = [&](bool reported) {
+        server.setFaults({{"cold_ms", 60000}});
+        if (reported) {
+            CHECK(server.json("/figlanding/health")["phase"] == "cold");
+        }
+        const auto before = historyOf(server).executions.size();
+        auto first = std::thread([&] {
+            server.call(request("slow", {{"standin-service-ms", "100"}}));
+        });
+        CHECK(waitUntil([&] { return historyOf(server).executions.size() > before; }, limit));
+        CHECK(server.call(request("r2")).response.status == 200);
+        first.join();
+        return historyOf(server).violations.back().detail;
+    };
+    CHECK(detailOfExcess(false).find("not reported") != std::string::npos);
+    CHECK(detailOfExcess(true).find(", reported for") != std::string::npos);
 }
 
 TEST_CASE("a request ends at its deadline or when it is cancelled")
--- a/tests/standins/backend_server_standin.cpp
+++ b/tests/standins/backend_server_standin.cpp
@@ -71,7 +71,8 @@
     , m_history(m_options.id, m_bootId)
     , m_proxy(loop, {.address = m_options.address, .connectionCost = m_options.connectionCost})
     , m_proxyTimer(loop, [this] { m_proxy.apply(nlohmann::json::parse(m_pendingProxyFaults)); })
-    , m_coldUntil(loop.now() + m_options.coldTime)
+    , m_coldSince(loop.now())
+    , m_coldUntil(m_coldSince + m_options.coldTime)
 { }
 
 BackendServerStandin::~BackendServerStandin() = default;
@@ -184,7 +185,9 @@
                 .healthPatch = json.contains("health") ? json["health"].dump() : ""};
     m_draining = json.value("draining", false);
     if (json.contains("cold_ms")) {
-        m_coldUntil = m_loop.now() + milliseconds(json["cold_ms"].get<int>());
+        m_coldSince = m_loop.now();
+        m_coldUntil = m_coldSince + milliseconds(json["cold_ms"].get<int>());
+        m_coldReportedAt.reset();
     }
     if (!m_faults.holdRequests) {
         for (auto &exchange : std::exchange(m_heldRequests, {})) {
@@ -203,6 +206,9 @@
     const auto now = m_loop.now();
     if (m_cachedHealth.empty() || now - m_healthCachedAt >= m_options.healthCacheTime) {
         const auto *const phase = m_draining ? "draining" : isCold() ? "cold" : "warm";
+        if (isCold() && !m_draining) {
+            m_coldReportedAt = m_coldReportedAt.value_or(now);
+        }
         const auto current = nlohmann::json{{"boot_id", m_bootId},
                                             {"phase", phase},
                                             {"running", m_running.size()},
@@ -228,6 +234,16 @@
     return m_fences.allows(service, headerOf(request, "figlanding-shard"), fence, m_loop.now());
 }
 
+auto BackendServerStandin::describeCold() const -> std::string
+{
+    const auto now = m_loop.now();
+    const auto msSince = [now](TimePoint time) {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(now - time).count()) + " ms";
+    };
+    return "cold for " + msSince(m_coldSince)
+        + (m_coldReportedAt ? ", reported for " + msSince(*m_coldReportedAt) : ", not reported");
+}
+
 auto BackendServerStandin::refusalFor(const HttpRequest &request) -> std::optional<HttpResponse>
 {
     if (m_draining) {
@@ -244,7 +260,7 @@
         return notRun(503, "all slots are taken");
     }
     if (isCold() && m_running.size() >= m_options.coldSlots) {
-        m_history.addViolation("cold", requestId);
+        m_history.addViolation("cold", requestId, describeCold());
     }
     return std::nullopt;
 }
--- a/tests/standins/backend_server_standin.h
+++ b/tests/standins/backend_server_standin.h
@@ -84,6 +84,8 @@
     auto finish(std::list<std::unique_ptr<RunningRequest>>::iterator position) -> void;
     [[nodiscard]] auto outcomeOf(const RunningRequest &running) const -> std::string_view;
     [[nodiscard]] auto isAllowed(const HttpRequest &request) const -> bool;
+    /// Returns for how long the server is cold, and since when a health response has told so.
+    [[nodiscard]] auto describeCold() const -> std::string;
     auto sendResponse(const RunningRequest &running) -> void;
     [[nodiscard]] auto responseTo(const RunningRequest &running) const -> HttpResponse;
 
@@ -102,7 +104,9 @@
     std::optional<HeldResponse> m_responseToSwap;
     std::string m_cachedHealth;
     TimePoint m_healthCachedAt;
+    TimePoint m_coldSince;
     TimePoint m_coldUntil;
+    std::optional<TimePoint> m_coldReportedAt; ///< first health response of the present cold phase
     bool m_draining = false;
 };
 
--- a/tests/standins/execution_history.cpp
+++ b/tests/standins/execution_history.cpp
@@ -44,7 +44,8 @@
         histories.violations.push_back({.server = event.at("server"),
                                         .kind = event.at("kind"),
                                         .requestId = event.at("request_id"),
-                                        .atNs = event.at("at_ns")});
+                                        .atNs = event.at("at_ns"),
+                                        .detail = event.at("detail")});
         return;
     }
     const auto id = std::pair(event.at("boot_id").get<std::string>(),
@@ -100,9 +101,10 @@
     write({{"event", "end"}, {"sequence", sequence}, {"outcome", outcome}});
 }
 
-auto ExecutionHistory::addViolation(std::string_view kind, const std::string &requestId) -> void
+auto ExecutionHistory::addViolation(std::string_view kind, const std::string &requestId,
+                                    std::string_view detail) -> void
 {
-    write({{"event", "violation"}, {"kind", kind}, {"request_id", requestId}});
+    write({{"event", "violation"}, {"kind", kind}, {"request_id", requestId}, {"detail", detail}});
 }
 
 auto ExecutionHistory::text() const -> const std::string &
--- a/tests/standins/execution_history.h
+++ b/tests/standins/execution_history.h
@@ -47,6 +47,7 @@
     std::string kind; ///< "slots" or "cold"
     std::string requestId;
     std::int64_t atNs = 0;
+    std::string detail; ///< what the server had shown of its state before; empty for "slots"
 
     auto operator==(const ServerViolation &) const -> bool = default;
 };
@@ -79,7 +80,9 @@
     auto end(std::uint64_t sequence, std::string_view outcome) -> void;
     /// Records a request beyond a concurrency limit.
     /// @param kind see ServerViolation::kind
-    auto addViolation(std::string_view kind, const std::string &requestId) -> void;
+    /// @param detail see ServerViolation::detail
+    auto addViolation(std::string_view kind, const std::string &requestId,
+                      std::string_view detail = {}) -> void;
     /// Returns all lines written so far.
     [[nodiscard]] auto text() const -> const std::string &;
 
--- a/tests/standins/history_checker.cpp
+++ b/tests/standins/history_checker.cpp
@@ -135,7 +135,8 @@
     for (const auto &violation : histories.violations) {
         collector.add(ViolationKind::ServerOverload,
                       violation.kind + " on " + violation.server + " by request "
-                          + violation.requestId + " at " + std::to_string(violation.atNs));
+                          + violation.requestId + " at " + std::to_string(violation.atNs)
+                          + (violation.detail.empty() ? "" : ": " + violation.detail));
     }
 }
 
