--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -27,20 +27,6 @@
     return {.reason = reason, .detail = std::move(detail), .verdict = verdict};
 }
 
-auto scopeOf(const DispatchRequest &request) -> IdempotencyScope
-{
-    return {.team = request.team, .service = request.service, .key = request.idempotencyKey};
-}
-
-auto storedResponse(const StoredAnswer &stored) -> HttpResponse
-{
-    HttpResponse response{.status = stored.status, .body = stored.body};
-    for (const auto &[name, value] : stored.headers) {
-        response.headers.add(name, value);
-    }
-    return response;
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(EventLoop &loop, HttpClient &client, DispatcherOptions options,
@@ -49,7 +35,7 @@
     , m_client(client)
     , m_options(std::move(options))
     , m_handlers(std::move(handlers))
-    , m_idempotency({}, loop.now())
+    , m_duplicates(loop.now())
     , m_poisonDetector({}, m_options.self.value())
     , m_queueTimer(loop, [this] { processAllQueues(); })
 {
@@ -89,7 +75,7 @@
 auto Dispatcher::dispatch(DispatchRequest request, Callback callback) -> DispatchId
 {
     const auto id = m_nextId++;
-    if (auto known = beginIdempotent(request)) {
+    if (auto known = m_duplicates.begin(request, m_loop.now())) {
         callback(std::move(*known));
         return id;
     }
@@ -256,55 +242,11 @@
     m_poisonDetector.onReport(report, m_loop.now());
 }
 
-auto Dispatcher::beginIdempotent(const DispatchRequest &request) -> std::optional<DispatchResult>
-{
-    if (request.idempotent || request.idempotencyKey.empty()) {
-        return std::nullopt;
-    }
-    const auto decision = m_idempotency.begin(scopeOf(request), request.digest, m_loop.now());
-    const auto key = "Idempotency-Key \"" + request.idempotencyKey + "\" ";
-    switch (decision.outcome) {
-    case IdempotencyOutcome::Run:
-        return std::nullopt;
-    case IdempotencyOutcome::Replay:
-        return storedResponse(*decision.answer);
-    case IdempotencyOutcome::InFlight:
-        return refusal(RefusalReason::DuplicateInFlight, key + "is in flight", Verdict::MayHaveRun);
-    case IdempotencyOutcome::AnswerLost:
-        return refusal(RefusalReason::AnswerLost, key + "was answered before", Verdict::Ran);
-    case IdempotencyOutcome::OutcomeUnknown:
-        return refusal(RefusalReason::AnswerLost, key + "may have run before", Verdict::MayHaveRun);
-    case IdempotencyOutcome::KeyReused:
-        return refusal(RefusalReason::MalformedRequest, key + "belongs to another request");
-    case IdempotencyOutcome::StoreFull:
-        break;
-    }
-    return refusal(RefusalReason::QueueFull, "too many requests with an Idempotency-Key");
-}
-
-auto Dispatcher::finishIdempotent(const DispatchRequest &request, const DispatchResult &result)
-    -> void
-{
-    if (request.idempotent || request.idempotencyKey.empty()) {
-        return;
-    }
-    StoredAnswer stored;
-    auto verdict = Verdict::Ran;
-    if (const auto *refused = std::get_if<Refusal>(&result)) {
-        verdict = refused->verdict;
-    } else {
-        const auto &response = std::get<HttpResponse>(result);
-        stored = {
-            .status = response.status, .headers = response.headers.fields(), .body = response.body};
-    }
-    m_idempotency.finish(scopeOf(request), verdict, std::move(stored), m_loop.now());
-}
-
 auto Dispatcher::finish(DispatchId id, DispatchResult result) -> void
 {
     auto entry = m_calls.extract(id);
     if (!entry.empty()) {
-        finishIdempotent(entry.mapped().request, result);
+        m_duplicates.finish(entry.mapped().request, result, m_loop.now());
         entry.mapped().callback(std::move(result));
     }
 }
@@ -322,7 +264,7 @@
         if (serverEntry != m_servers.end()) {
             serverEntry->second->admission().cancelQueued(id);
         }
-        finishIdempotent(call.request, Refusal{.verdict = Verdict::NotRun});
+        m_duplicates.finish(call.request, Refusal{.verdict = Verdict::NotRun}, m_loop.now());
         m_calls.erase(found);
         return;
     }
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -2,9 +2,9 @@
 
 #include "daemon/dispatch_message.h"
 #include "daemon/dispatched_server.h"
+#include "daemon/duplicate_guard.h"
 #include "figlanding/admission.h"
 #include "figlanding/cluster_state.h"
-#include "figlanding/idempotency.h"
 #include "figlanding/lease_renewal.h"
 #include "figlanding/quarantine.h"
 #include "figlanding/timing.h"
@@ -115,12 +115,6 @@
     [[nodiscard]] auto serverRequest(const Call &call, Duration remaining) const -> HttpRequest;
     auto onOutcome(DispatchId id, HttpOutcome outcome) -> void;
     auto recordCrash(const BackendServerId &server, const std::string &bootId) -> void;
-    /// Registers a request that has an idempotency key.
-    /// @return the result if the request must not run; nothing if it is to be sent
-    [[nodiscard]] auto beginIdempotent(const DispatchRequest &request)
-        -> std::optional<DispatchResult>;
-    /// Stores the result of a request that has an idempotency key.
-    auto finishIdempotent(const DispatchRequest &request, const DispatchResult &result) -> void;
     auto finish(DispatchId id, DispatchResult result) -> void;
     /// Sends the server's queued requests that get a slot and refuses those that no longer can.
     auto processQueue(const BackendServerId &server) -> void;
@@ -136,7 +130,7 @@
     DispatcherHandlers m_handlers;
     std::map<BackendServerId, std::unique_ptr<DispatchedServer>> m_servers;
     std::map<DispatchId, Call> m_calls;
-    IdempotencyStore m_idempotency;
+    DuplicateGuard m_duplicates;
     PoisonRequestDetector m_poisonDetector;
     LeaseRenewal m_leaseRenewal;
     DispatchId m_nextId = 1;
