Apply the late page of a read that was repeated

Cause: a VM that knows that it is behind repeats a read after 400 ms on a new connection, and ignored the response to the first one. A page that takes longer than that over the link never arrived: each repetition asked for all of it again and slowed down the others. Change: a page of a replaced read is applied if it comes; its offsets show what is new. Test: contract.topic_follower_test failed before (no record applied).

--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -163,6 +163,8 @@
                      [this, sentAt, number](const Settled<KeyedPage> &page) {
                          if (number == m_readNumber) {
                              onPage(sentAt, page);
+                         } else if (page) {
+                             apply(newestOfEachKey(page.value().records), page.value().next);
                          }
                      });
     }
@@ -361,7 +363,9 @@
     bool m_needsSnapshot = true; ///< the next read is one of the snapshot
     bool m_hadGap = false; ///< since the last page that was read
     std::uint32_t m_consecutiveFailures = 0; ///< failed reads in a row
-    std::uint64_t m_readNumber = 0; ///< of the last read; responses to earlier reads are ignored
+    /// Number of the last read. Responses to earlier reads, which it replaced because they were
+    /// late, are applied only if they contain new records: over a slow link every one may be late.
+    std::uint64_t m_readNumber = 0;
     TimePoint m_sentAt; ///< when the last read was sent
     TimePoint m_confirmedAt; ///< all records appended before it are applied
     LogOffset m_nextOffset = 0;
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -22,7 +22,7 @@
     auto read(const ReadRequest &, std::function<void(Settled<KeyedPage>)> callback) -> void
     {
         m_reads.push_back(m_loop.now());
-        m_page = std::move(callback);
+        m_latePage = std::exchange(m_page, std::move(callback));
     }
     auto readNewest(const std::string &, std::function<void(Settled<KeyedSnapshot>)> callback)
         -> void
@@ -45,6 +45,14 @@
     {
         std::exchange(m_snapshot, nullptr)(std::move(snapshot));
     }
+    auto respondToReplacedRead(Settled<KeyedPage> page) -> void
+    {
+        std::exchange(m_latePage, nullptr)(std::move(page));
+    }
+    [[nodiscard]] auto hasReplacedRead() const -> bool
+    {
+        return m_latePage != nullptr;
+    }
     [[nodiscard]] auto awaitsPage() const -> bool
     {
         return m_page != nullptr;
@@ -63,6 +71,7 @@
     std::vector<TimePoint> m_reads;
     std::vector<TimePoint> m_snapshotReads;
     std::function<void(Settled<KeyedPage>)> m_page;
+    std::function<void(Settled<KeyedPage>)> m_latePage; ///< of the read before
     std::function<void(Settled<KeyedSnapshot>)> m_snapshot;
 };
 
@@ -226,3 +235,20 @@
     following.store.respond(Settled<KeyedPage>(KeyedPage{.end = 10, .next = 10}));
     CHECK(isCurrent());
 }
+
+TEST_CASE("records that arrive late over a slow link are applied, not read again and again")
+{
+    auto following = Following{};
+    following.rank = 3;
+    following.startAndFail(0);
+    following.follower.onPeerEnd(12);
+    REQUIRE(
+        following.runUntil([&] { return following.store.hasReplacedRead(); }, milliseconds(3000)));
+    following.store.respondToReplacedRead(Settled<KeyedPage>(
+        KeyedPage{.end = 12, .next = 12, .records = {{.offset = 10}, {.offset = 11}}}));
+    CHECK(following.applied.size() == 1);
+    CHECK(following.follower.end() == 12);
+    following.store.respond(Settled<KeyedPage>(
+        KeyedPage{.end = 12, .next = 12, .records = {{.offset = 10}, {.offset = 11}}}));
+    CHECK(following.applied.size() == 1);
+}
