Make concurrent changes of the CLI test concurrent on any machine

Seen: "of concurrent changes one is accepted and the others report a version conflict" failed in 2 of 10 runs at a load of 27 on 8 cores: two or more changes were accepted.

Cause: the test started four threads and assumed that all of them read the log before the first appends, because every answer takes 50 ms. On a busy machine a thread starts later than that and reads the log with the first change; its own change is then accepted, which is right.

Change: the log stand-in has a fault "hold_appends", which keeps appends until it ends, and tells how many it holds. The test waits until all four appends are held, so that all four commands have read the same version, then ends the fault. It is stricter: exactly one change must be accepted with four certain competitors; before, the number of competitors was left to chance. An append whose caller has left is not stored; a new test of the stand-in guards that and the order.

--- a/tests/contract/cli_test.cpp
+++ b/tests/contract/cli_test.cpp
@@ -2,6 +2,7 @@
 #include "io/http_client.h"
 #include "raw_server.h"
 #include "standins/log_standin.h"
+#include "standins/process.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -50,6 +51,12 @@
         REQUIRE(outcome.verdict == Verdict::Ran);
         REQUIRE(outcome.response.status == 200);
     }
+    // Returns how many appends the fault "hold_appends" holds.
+    [[nodiscard]] auto heldAppends() const -> int
+    {
+        const auto outcome = callAndWait(address(), {.target = "/standin/held-appends"}, {});
+        return nlohmann::json::parse(outcome.response.body, nullptr, false).value("held", -1);
+    }
 
 private:
     auto run() -> void
@@ -271,14 +278,17 @@
     applyDeclarations(runner);
     constexpr auto operatorCount = 4;
     auto results = std::vector<CliResult>(operatorCount);
-    log.setFaults(R"({"slow_ms": 50})");
+    log.setFaults(R"({"hold_appends": true})");
     auto threads = std::vector<std::thread>();
     for (auto &result : results) {
         const auto number = &result - results.data();
         threads.emplace_back([&runner, &result, number] {
-            result = runner.run({"label", "zone", "a", "n=" + std::to_string(number)});
+            result = runner.run(
+                {"label", "zone", "a", "n=" + std::to_string(number), "--timeout-ms", "30000"});
         });
     }
+    CHECK(standins::waitUntil([&] { return log.heldAppends() == operatorCount; }, seconds(20)));
+    log.setFaults("{}");
     for (auto &thread : threads) {
         thread.join();
     }
--- a/tests/contract/log_standin_test.cpp
+++ b/tests/contract/log_standin_test.cpp
@@ -108,6 +108,55 @@
     }
 }
 
+TEST_CASE("held appends are stored when the fault ends, without those whose caller has left")
+{
+    StandinProcess log("log-standin", {});
+    const auto address = SocketAddress{.ip = "127.0.0.1", .port = log.port()};
+    const auto limit = milliseconds(10000);
+    const auto holds = [&](int count) {
+        return waitUntil([&] { return log.json("/standin/held-appends")["held"] == count; }, limit);
+    };
+    log.setFaults({{"hold_appends", true}});
+    auto loop = EventLoop();
+    auto leaver = std::make_unique<HttpClient>(loop, HttpClientOptions{});
+    leaver->call(address, {.method = "POST", .target = "/v1/append", .body = R"({"number": 0})"},
+                 {.timeout = limit}, [](const HttpOutcome &) {});
+    auto timer = Timer(loop, [&] { loop.stop(); });
+    timer.startRepeating(milliseconds(1));
+    CHECK(waitUntil(
+        [&] {
+            loop.run();
+            return log.json("/standin/held-appends")["held"] == 1;
+        },
+        limit));
+    leaver.reset();
+    CHECK(holds(0));
+    auto appends = std::vector<std::thread>();
+    auto outcomes = std::vector<HttpOutcome>(2);
+    for (auto number = 1; number <= 2; ++number) {
+        appends.emplace_back([&, number] {
+            outcomes[static_cast<std::size_t>(number - 1)] =
+                callAndWait(address,
+                            {.method = "POST",
+                             .target = "/v1/append",
+                             .body = nlohmann::json{{"number", number}}.dump()},
+                            {.timeout = limit});
+        });
+        CHECK(holds(number));
+    }
+    CHECK(read(log, 1)["tail"] == 0);
+    log.setFaults(nlohmann::json::object());
+    for (auto &thread : appends) {
+        thread.join();
+    }
+    const auto records = read(log, 1)["records"];
+    REQUIRE(records.size() == 2);
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        CHECK(records[i]["record"]["number"] == i + 1);
+        CHECK(nlohmann::json::parse(outcomes[i].response.body)["offset"] == i + 1);
+    }
+}
+
 TEST_CASE("a stale tail hides later records until the fault ends")
 {
     StandinProcess log("log-standin", {});
--- a/tests/standins/log_standin.cpp
+++ b/tests/standins/log_standin.cpp
@@ -67,6 +67,7 @@
     m_appendTokens = 0.0;
     m_tokensUpdatedAt = m_loop.now();
     m_faults = faults;
+    releaseHeldAppends();
 }
 
 auto LogStandin::handle(HttpExchange exchange) -> void
@@ -74,6 +75,9 @@
     const auto path = std::string(pathOf(exchange.request().target));
     if (path == "/standin/fault") {
         handleFault(exchange);
+    } else if (path == "/standin/held-appends") {
+        const auto held = nlohmann::json{{"held", m_heldAppends.size()}};
+        exchange.respond(jsonResponse(200, held.dump()));
     } else if (m_faults.withholdResponses) {
         m_withheldExchanges.push_back(std::move(exchange));
     } else if (m_faults.unavailable) {
@@ -100,7 +104,8 @@
                .responseDelay = milliseconds(json.value("slow_ms", 0)),
                .dropAppendResponses = json.value("lose_answers", 0),
                .malformedResponses = json.value("rubbish_answers", 0),
-               .appendsPerSecond = json.value("appends_per_second", 0.0)});
+               .appendsPerSecond = json.value("appends_per_second", 0.0),
+               .holdAppends = json.value("hold_appends", false)});
     exchange.respond(jsonResponse(200, "{}"));
 }
 
@@ -111,6 +116,10 @@
         respond(exchange, problemResponse(400, "Invalid record", "not a JSON object"));
         return;
     }
+    if (m_faults.holdAppends) {
+        holdAppend(exchange);
+        return;
+    }
     if (!takeAppendToken()) {
         respond(exchange, problemResponse(503, "Log unavailable", "too many appends"));
         return;
@@ -126,6 +135,23 @@
     completeWaitingReads();
 }
 
+auto LogStandin::holdAppend(const HttpExchange &exchange) -> void
+{
+    m_heldAppends.push_back(exchange);
+    const auto position = std::prev(m_heldAppends.end());
+    m_heldAppends.back().onAbandoned([this, position] { m_heldAppends.erase(position); });
+}
+
+auto LogStandin::releaseHeldAppends() -> void
+{
+    while (!m_faults.holdAppends && !m_heldAppends.empty()) {
+        auto exchange = std::move(m_heldAppends.front());
+        m_heldAppends.pop_front();
+        exchange.onAbandoned(nullptr); // would erase it again while a slow response is due
+        handleAppend(exchange);
+    }
+}
+
 auto LogStandin::takeAppendToken() -> bool
 {
     if (m_faults.appendsPerSecond <= 0.0) {
--- a/tests/standins/log_standin.h
+++ b/tests/standins/log_standin.h
@@ -31,6 +31,7 @@
     int dropAppendResponses = 0; ///< "lose_answers": next appends stored without a response
     int malformedResponses = 0; ///< "rubbish_answers": next responses sent as invalid JSON
     double appendsPerSecond = 0.0; ///< "appends_per_second": rate limit; 0: unlimited
+    bool holdAppends = false; ///< "hold_appends": stores appends only when this ends
 };
 
 /// Keeps records in memory and serves the log's HTTP API.
@@ -46,7 +47,8 @@
     /// @return the error if the listening socket can't be opened
     [[nodiscard]] auto start() -> Result<void>;
     [[nodiscard]] auto port() const -> std::uint16_t;
-    /// Replaces the faults in force.
+    /// Replaces the faults in force. Held appends are stored, in the order of their arrival, if the
+    /// new faults do not hold them. GET /standin/held-appends tells how many there are.
     auto setFaults(LogFaults faults) -> void;
     /// Returns the offset of the newest record, or 0 if none was appended.
     [[nodiscard]] auto tail() const -> std::uint64_t;
@@ -69,6 +71,8 @@
     auto handle(HttpExchange exchange) -> void;
     auto handleFault(HttpExchange &exchange) -> void;
     auto handleAppend(HttpExchange &exchange) -> void;
+    auto holdAppend(const HttpExchange &exchange) -> void;
+    auto releaseHeldAppends() -> void;
     auto handleRead(HttpExchange &exchange) -> void;
     auto respond(HttpExchange exchange, HttpResponse response) -> void;
     auto takeAppendToken() -> bool;
@@ -89,6 +93,7 @@
     TimePoint m_tokensUpdatedAt;
     std::list<WaitingRead> m_waitingReads;
     std::list<HttpExchange> m_withheldExchanges;
+    std::list<HttpExchange> m_heldAppends; ///< only those whose caller still waits
     std::list<std::unique_ptr<Timer>> m_delayedResponses;
 };
 
