Wait for the input in the test of faults on a reused connection

Seen: the row "input while idle" failed at a load of about 30 on 8 cores: the second call was sent on the connection instead of a new one.

Cause: the raw server sent the extra bytes 10 ms after the response and the test started the second call after 30 ms. On a busy machine the bytes came later than the second call, and a socket without unread input is rightly used again.

Change: the raw server's step Pause, which waited 10 ms, is replaced by Await, which waits until the test says that the client has the response. The test then waits until the client's socket is readable before the second call, also in the rows where the server closes or resets. It is stricter: the socket must have no input before and must have it after exactly in those rows. The 30 ms stay as the shortest idle time. The calls have a limit of 10 s instead of 1 s, which no row tests.

--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -3,6 +3,11 @@
 
 #include <doctest/doctest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 
 using namespace figlanding;
@@ -10,6 +15,9 @@
 
 namespace {
 
+// Limit of calls that end by an event; none of them may reach it.
+constexpr milliseconds longTimeout{10'000};
+constexpr milliseconds shortestIdleTime{30};
 const auto okResponse = std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 
 auto read() -> RawStep
@@ -68,6 +76,28 @@
     HttpClient m_client{m_loop, m_options};
 };
 
+// Returns the descriptor of this process that is connected to the server, or -1.
+auto socketTo(const SocketAddress &server) -> int
+{
+    constexpr auto maxDescriptor = 1024;
+    for (auto fd = 0; fd < maxDescriptor; ++fd) {
+        auto peer = sockaddr_in{};
+        auto size = socklen_t{sizeof peer};
+        if (::getpeername(fd, reinterpret_cast<sockaddr *>(&peer), &size) == 0
+            && peer.sin_family == AF_INET && ntohs(peer.sin_port) == server.port) {
+            return fd;
+        }
+    }
+    return -1;
+}
+
+// Returns whether the socket has unread input, an end of input or an error.
+auto hasInput(int fd) -> bool
+{
+    auto item = pollfd{.fd = fd, .events = POLLIN, .revents = 0};
+    return ::poll(&item, 1, 0) > 0;
+}
+
 // An answer that goes on until the client closes.
 struct EndlessCase
 {
@@ -263,7 +293,8 @@
     struct Row
     {
         std::string name;
-        RawScript first; ///< on the first connection, after the first response
+        RawScript first; ///< on the first connection, once the client has the first response
+        bool inputWhileIdle; ///< whether the client's socket becomes readable before the next call
         Verdict verdict;
         bool newConnection;
         std::size_t requests; ///< complete requests that the server read
@@ -271,23 +302,27 @@
     const auto rows = std::vector<Row>{
         {"is used again",
          {read(), send(okResponse), step(RawAction::Hold)},
+         false,
          Verdict::Ran,
          false,
          2},
-        {"closed while idle", {step(RawAction::Close)}, Verdict::Ran, true, 2},
-        {"reset while idle", {step(RawAction::Reset)}, Verdict::Ran, true, 2},
+        {"closed while idle", {step(RawAction::Close)}, true, Verdict::Ran, true, 2},
+        {"reset while idle", {step(RawAction::Reset)}, true, Verdict::Ran, true, 2},
         {"input while idle",
-         {step(RawAction::Pause), send(okResponse), step(RawAction::Hold)},
+         {send(okResponse), step(RawAction::Hold)},
+         true,
          Verdict::Ran,
          true,
          2},
         {"closed after the second request",
          {read(), step(RawAction::Close)},
+         false,
          Verdict::MayHaveRun,
          false,
          2},
         {"reset after the second request",
          {read(), step(RawAction::Reset)},
+         false,
          Verdict::MayHaveRun,
          false,
          2},
@@ -296,14 +331,24 @@
         for (const auto &row : rows) {
             CAPTURE(method);
             CAPTURE(row.name);
-            auto script = RawScript{read(), send(okResponse)};
+            auto script = RawScript{read(), send(okResponse), step(RawAction::Await)};
             script.insert(script.end(), row.first.begin(), row.first.end());
             auto server = RawServer({script, {read(), send(okResponse), step(RawAction::Hold)}});
             auto syncClient = SyncClient();
             const auto request = HttpRequest{.method = method};
-            REQUIRE(syncClient.call(server.address(), request).verdict == Verdict::Ran);
-            syncClient.wait(milliseconds(30));
-            const auto outcome = syncClient.call(server.address(), request);
+            const auto options =
+                HttpCallOptions{.timeout = longTimeout, .connectTimeout = longTimeout};
+            REQUIRE(syncClient.call(server.address(), request, options).verdict == Verdict::Ran);
+            const auto fd = socketTo(server.address());
+            REQUIRE(fd >= 0);
+            CHECK_FALSE(hasInput(fd));
+            server.proceed();
+            syncClient.wait(shortestIdleTime);
+            for (auto i = 0; i < 10'000 && row.inputWhileIdle && !hasInput(fd); ++i) {
+                syncClient.wait(milliseconds(1));
+            }
+            CHECK(hasInput(fd) == row.inputWhileIdle);
+            const auto outcome = syncClient.call(server.address(), request, options);
             CHECK(outcome.verdict == row.verdict);
             CHECK(outcome.newConnection == row.newConnection);
             CHECK(server.requests().size() == row.requests);
--- a/tests/contract/raw_server.cpp
+++ b/tests/contract/raw_server.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr int pollIntervalMs = 5;
-constexpr unsigned pauseMicroseconds = 10000;
+constexpr unsigned awaitMicroseconds = 1000;
 constexpr unsigned tricklePauseMicroseconds = 1000;
 
 auto loopback(std::uint16_t port) -> sockaddr_in
@@ -166,8 +166,10 @@
             (void)::send(fd, step.text.data(), step.text.size(), MSG_NOSIGNAL);
         } else if (step.action == RawAction::Stream || step.action == RawAction::Trickle) {
             stream(fd, step);
-        } else if (step.action == RawAction::Pause) {
-            ::usleep(pauseMicroseconds);
+        } else if (step.action == RawAction::Await) {
+            while (!m_stop && !m_proceed) {
+                ::usleep(awaitMicroseconds);
+            }
         } else if (step.action == RawAction::Reset) {
             resetOnClose(fd);
             break;
--- a/tests/contract/raw_server.h
+++ b/tests/contract/raw_server.h
@@ -20,7 +20,7 @@
     ReadAll, ///< reads until the peer closes the connection
     Send, ///< sends RawStep::text
     Close, ///< closes the connection normally
-    Pause, ///< waits 10 ms, so that the client reads an earlier response separately
+    Await, ///< waits for RawServer::proceed(), as when the client has read an earlier response
     Reset, ///< closes the connection with RST
     Hold, ///< keeps the connection open until the server stops
     Stream, ///< sends RawStep::text again and again until the peer closes or the server stops
@@ -49,6 +49,11 @@
     auto operator=(const RawServer &) -> RawServer & = delete;
 
     [[nodiscard]] auto address() const -> SocketAddress;
+    /// Ends the Await steps, also those that have not begun.
+    auto proceed() -> void
+    {
+        m_proceed = true;
+    }
     /// Returns the requests that ReadRequest steps have read.
     [[nodiscard]] auto requests() const -> std::vector<std::string>;
     /// Returns the number of Stream and Trickle steps that the peer ended by closing.
@@ -80,6 +85,7 @@
     int m_listener = -1;
     std::uint16_t m_port = 0;
     std::atomic<bool> m_stop = false;
+    std::atomic<bool> m_proceed = false;
     std::atomic<int> m_closedStreams = 0;
     std::atomic<int> m_readToEnd = 0;
     std::atomic<int> m_resets = 0;
