Choose the refusals of the request path in one place

request_path.h built the refusals of a slot, a failed attempt, a deadline and a shutdown in five places, each with its own choice between a promise that the request did not run and an unknown outcome, and repaired one of them when it was sent. They are functions of the verdict now, in a compiled source, and a caller that leaves is withdrawn by the same function as the others.

--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -4,6 +4,7 @@
 #include "figlanding/gateway/server_registry.h"
 #include "gateway/active_request.h"
 #include "gateway/request_admission.h"
+#include "gateway/request_refusals.h"
 #include "gateway/request_retries.h"
 #include "gateway/slot_client.h"
 #include "gateway/slot_end_of.h"
@@ -90,7 +91,7 @@
             return;
         }
         if (active.deadline > m_stopAt) {
-            refuseUnsent(number);
+            refuseAtShutdown(number);
             return;
         }
         m_retries.onRequest(active.service, m_handlers.fleetSize());
@@ -107,11 +108,7 @@
         }
         if (const auto *refusal = std::get_if<SlotRefusal>(&outcome)) {
             found->second.stage = Stage::Idle;
-            refuse(number,
-                   {.reason = RefusalReason::QueueFull,
-                    .detail = "no slot in time",
-                    .verdict = found->second.verdict,
-                    .retryAfter = refusal->retryAfter});
+            refuse(number, refusalWithoutSlot(found->second.verdict, refusal->retryAfter));
             return;
         }
         send(number, std::get<SlotGrant>(outcome).server);
@@ -135,7 +132,7 @@
             if (now >= found->second.deadline) {
                 expire(number);
             } else if (isTooLong(found->second)) {
-                refuseUnsent(number);
+                refuseAtShutdown(number);
             } else {
                 dispatch(number);
             }
@@ -161,9 +158,7 @@
         }
         for (const auto number : sent) {
             if (m_requests.contains(number)) {
-                withdraw(number, SlotEnd::Abandoned);
-                refuse(number,
-                       {.reason = RefusalReason::AnswerLost, .detail = "this VM shuts down"});
+                refuseAtShutdown(number);
             }
         }
     }
@@ -294,7 +289,7 @@
             if (outcome.verdict == Verdict::NotRun) {
                 active.attempts -= 1;
             }
-            retryOrRefuse(number, outcome.verdict, {.reason = RefusalReason::AnswerLost});
+            retryOrRefuse(number, outcome.verdict);
             return;
         }
         const auto response = Protocol::readResponse(outcome.response, active.caller.id);
@@ -316,11 +311,11 @@
         case ResponseKind::NotRun:
             active.record.detail = "server declined the request with status "
                 + std::to_string(outcome.response.status);
-            retryOrRefuse(number, Verdict::NotRun, {.reason = RefusalReason::ServerDeclined});
+            retryOrRefuse(number, Verdict::NotRun);
             return;
         case ResponseKind::Foreign:
             active.record.detail = "response belongs to another request or another server";
-            retryOrRefuse(number, Verdict::MayHaveRun, {.reason = RefusalReason::AnswerLost});
+            retryOrRefuse(number, Verdict::MayHaveRun);
             return;
         }
     }
@@ -354,7 +349,7 @@
     }
 
     // Retries a request if its route, deadline and the retry budget allow it, otherwise refuses it.
-    auto retryOrRefuse(std::uint64_t number, Verdict verdict, Refusal refusal) -> void
+    auto retryOrRefuse(std::uint64_t number, Verdict verdict) -> void
     {
         auto &active = m_requests.at(number);
         active.verdict = combine(active.verdict, verdict);
@@ -363,14 +358,7 @@
             retry(active);
             return;
         }
-        refusal.verdict = active.verdict;
-        if (active.verdict == Verdict::NotRun) {
-            refusal.reason = RefusalReason::ServerDeclined;
-            refusal.retryAfter = milliseconds(100);
-        } else {
-            refusal.reason = RefusalReason::AnswerLost;
-        }
-        refuse(number, std::move(refusal));
+        refuse(number, refusalAfterFailure(active.verdict));
     }
 
     // Returns whether a request that is not at a server may not complete before this VM stops.
@@ -379,14 +367,10 @@
         return active.stage != Stage::AwaitingResponse && active.deadline > m_stopAt;
     }
 
-    auto refuseUnsent(std::uint64_t number) -> void
+    auto refuseAtShutdown(std::uint64_t number) -> void
     {
         withdraw(number, SlotEnd::Abandoned);
-        const auto notRun = m_requests.at(number).verdict == Verdict::NotRun;
-        refuse(number,
-               {.reason = notRun ? RefusalReason::ShuttingDown : RefusalReason::AnswerLost,
-                .detail = "this VM shuts down",
-                .retryAfter = notRun ? std::optional<Duration>(milliseconds(100)) : std::nullopt});
+        refuse(number, refusalAtShutdown(m_requests.at(number).verdict));
     }
 
     // Cancels what a request waits for, and takes into account that its server may have run it.
@@ -411,13 +395,7 @@
     auto expire(std::uint64_t number) -> void
     {
         withdraw(number, SlotEnd::TimedOut);
-        const auto verdict = m_requests.at(number).verdict;
-        const auto notRun = verdict == Verdict::NotRun;
-        refuse(number,
-               {.reason = notRun ? RefusalReason::QueueFull : RefusalReason::DeadlineExceeded,
-                .detail = notRun ? "no slot until the deadline" : "no answer in time",
-                .verdict = verdict,
-                .retryAfter = notRun ? std::optional<Duration>(milliseconds(100)) : std::nullopt});
+        refuse(number, refusalAtDeadline(m_requests.at(number).verdict));
     }
 
     auto respond(std::uint64_t number, HttpResponse response) -> void
@@ -438,11 +416,6 @@
         auto &active = entry.mapped();
         active.verdict = combine(active.verdict, refusal.verdict);
         refusal.verdict = active.verdict;
-        if (active.verdict != Verdict::NotRun && refusal.reason == RefusalReason::QueueFull) {
-            // A 503 would promise that the request did not run.
-            refusal.reason = RefusalReason::AnswerLost;
-            refusal.retryAfter.reset();
-        }
         auto response = Protocol::refusal(refusal, active.caller.id);
         active.record.status = response.status;
         active.record.verdict = active.verdict;
@@ -477,17 +450,9 @@
         if (sent && active.route->repeatability == Repeatability::AtMostOnce) {
             return;
         }
-        const auto now = m_loop.now();
-        if (active.call != 0) {
-            m_client.cancel(active.call);
-        }
-        if (active.stage != Stage::Idle) {
-            m_slots.release(number, {.end = SlotEnd::Abandoned, .elapsed = now - active.sentAt},
-                            now);
-        }
+        withdraw(number, SlotEnd::Abandoned);
         active.record.detail = "caller left";
-        active.record.verdict =
-            combine(active.verdict, sent ? Verdict::MayHaveRun : Verdict::NotRun);
+        active.record.verdict = active.verdict;
         recordEnd(active);
         m_requests.erase(found);
     }
