Keep the last complete report when the deadline cuts off a query of watch

Operators saw: "watch" and "--wait" with VMs that had answered all the time ended with "timed out" and exit code 3 (unreachable) instead of what the VMs had reported ("vm-1: offset 0", exit code 1).

Cause: a round reads the log with a long poll of 200 ms, or of the rest of the time if that is shorter, and then queries the VMs. With 201 to 250 ms left, the command pauses for 50 ms, starts another round, and its long poll takes all the rest; the query then has a limit of 1 ms, and its failure replaced the report of the round before.

Change: a round that ends at the deadline no longer replaces the report of an earlier, complete round. If there is none, it is reported as before. A VM that stops answering is still reported as unreachable if its query reaches the limit of 2 s before the deadline; if it stops in the last round, its last answer is reported.

--- a/src/cli/cluster_client.cpp
+++ b/src/cli/cluster_client.cpp
@@ -250,18 +250,30 @@
         return fail(ErrorCode::MissingField,
                     "waiting requires the admin address of at least one VM: --admin IP:PORT");
     }
+    auto complete = std::optional<InForceReport>();
     while (true) {
-        BOOST_LEAF_AUTO(state, readState());
+        const auto state = settle([this] { return readState(); });
+        if (!state && complete) {
+            return *std::move(complete);
+        }
+        if (!state) {
+            return fail(state.error().code, state.error().detail);
+        }
         auto result = InForceReport{.vmStatuses = queryAllVms()};
-        result.missing = membersWithoutStatus(state, result.vmStatuses);
+        result.missing = membersWithoutStatus(state.value(), result.vmStatuses);
         result.unreachable =
             std::any_of(result.vmStatuses.begin(), result.vmStatuses.end(),
                         [](const VmStatus &vmStatus) { return vmStatus.vm.empty(); });
         result.everywhere =
             countOutdatedVms(result.vmStatuses, offset) == 0 && result.missing.empty();
-        if (result.everywhere || remainingTime() <= pollWait) {
+        const auto left = remainingTime();
+        if (!result.everywhere && left == milliseconds(0) && complete) {
+            return *std::move(complete); // the deadline may have cut off the last queries
+        }
+        if (result.everywhere || left <= pollWait) {
             return result;
         }
+        complete = std::move(result);
         std::this_thread::sleep_for(retryDelay);
     }
 }
--- a/src/cli/cluster_client.h
+++ b/src/cli/cluster_client.h
@@ -73,7 +73,8 @@
 
     /// Polls all known admin ports until every member has applied @p offset to a fresh state, or
     /// until the deadline.
-    /// @return the last report, MissingField without an admin address, or an error of readState()
+    /// @return the last report that the deadline did not cut off, else the first; MissingField
+    /// without an admin address; or an error of readState() if there is no report
     [[nodiscard]] auto waitUntilInForce(LogOffset offset) -> Result<InForceReport>;
 
     /// Queries one admin port.
