Count the demand of VMs that have not reported yet against a team's rate

Cause: since VMs admit a fraction of their requests, a VM that has no reports takes its own demand for that of the fleet and admits everything until the first heartbeats, and the first report of each process was not subtracted. Each bucket also began with free tokens, at all VMs at once.

Test: VMs that all start anew, demand five times the rate, any 5 s.

--- a/include/figlanding/gateway/team_limits.h
+++ b/include/figlanding/gateway/team_limits.h
@@ -19,7 +19,8 @@
 /// VM admits the same fraction of its requests: the rate divided by the demand that all VMs report;
 /// otherwise every VM would spend the same remaining tokens. A fraction needs no tokens of a VM's
 /// own, which in a large fleet would be less than one. Requests admitted in excess make the level
-/// negative, which lowers the fraction.
+/// negative, which lowers the fraction. VMs that have not reported yet are assumed to have the same
+/// demand, so that VMs which all start at the same time do not each admit the whole rate.
 ///
 /// Only requests that run count against a rate. A caller whose request is refused for another
 /// reason comes back, and each return would cost its team another token otherwise.
@@ -65,7 +66,8 @@
 class TeamLimits
 {
 public:
-    explicit TeamLimits(const TeamLimitOptions &options);
+    /// @param startedAt when this VM's process started; its first requests tell little of a demand
+    explicit TeamLimits(const TeamLimitOptions &options, TimePoint startedAt = {});
 
     /// Counts a request of a team.
     /// @return whether the request is within the team's rate
@@ -97,6 +99,7 @@
         double admissionCredit = 0.5;
         TeamUsage use;
         TimePoint updatedAt;
+        TimePoint createdAt; ///< when this VM got its first request of the team
         bool reported = false; ///< the last report included demand of the team
     };
     struct Report
@@ -108,11 +111,15 @@
 
     auto refreshBucket(const TeamId &team, const TeamRate &rate, TimePoint now) -> Bucket &;
     [[nodiscard]] auto estimateUnreported(const TeamId &team, TimePoint now) const -> double;
+    [[nodiscard]] auto averageCorrection(TimePoint now) const -> double;
+    [[nodiscard]] auto estimateDemand(const Bucket &bucket, const TeamId &team, TimePoint now) const
+        -> double;
     [[nodiscard]] auto admissionFraction(const Bucket &bucket, const TeamId &team,
                                          const TeamRate &rate, double left, TimePoint now) const
         -> double;
 
     TeamLimitOptions m_options;
+    TimePoint m_startedAt;
     double m_fleetSize = 1.0;
     std::map<TeamId, Bucket> m_buckets;
     std::map<VmId, Report> m_reports;
--- a/src/core/gateway/team_limits.cpp
+++ b/src/core/gateway/team_limits.cpp
@@ -7,8 +7,9 @@
 
 namespace figlanding {
 
-TeamLimits::TeamLimits(const TeamLimitOptions &options)
+TeamLimits::TeamLimits(const TeamLimitOptions &options, TimePoint startedAt)
     : m_options(options)
+    , m_startedAt(startedAt)
 { }
 
 auto TeamLimits::setFleetSize(std::size_t vms) -> void
@@ -22,9 +23,11 @@
     const auto [found, added] = m_buckets.try_emplace(team);
     auto &bucket = found->second;
     if (added) {
-        // It is unknown what the other VMs have admitted recently.
-        bucket.level = capacity / 2;
+        // It is unknown what the other VMs have admitted recently. All VMs may have started at the
+        // same time, so none may admit without regard to the others yet.
+        bucket.level = 0.0;
         bucket.updatedAt = now;
+        bucket.createdAt = now;
     }
     const auto elapsed = toSeconds(now - bucket.updatedAt);
     const auto decay = std::exp(-elapsed / toSeconds(m_options.window));
@@ -36,19 +39,40 @@
     return bucket;
 }
 
-// Returns the fraction of the requests of all VMs that may be admitted if @p left tokens are left.
-auto TeamLimits::admissionFraction(const Bucket &bucket, const TeamId &team, const TeamRate &rate,
-                                   double left, TimePoint now) const -> double
+// The moving averages of a new process start at none. Returns the factor that corrects them for the
+// time that they have covered.
+auto TeamLimits::averageCorrection(TimePoint now) const -> double
 {
-    auto demand = bucket.use.demand;
+    constexpr auto minAge = Duration(milliseconds(20));
+    const auto age = std::max(minAge, now - m_startedAt);
+    return 1.0 / (1.0 - std::exp(-toSeconds(age) / toSeconds(m_options.window)));
+}
+
+// Returns the demand of all VMs. One that has not reported is assumed to have this VM's demand.
+auto TeamLimits::estimateDemand(const Bucket &bucket, const TeamId &team, TimePoint now) const
+    -> double
+{
+    const auto withoutPresent = bucket.use.demand - 1.0 / toSeconds(m_options.window);
+    const auto earlier = std::max(0.0, withoutPresent) * averageCorrection(now);
+    auto reported = 0.0;
+    auto unreported = m_fleetSize - 1.0;
     for (const auto &[vm, report] : m_reports) {
-        const auto found = report.usageByTeam.find(team);
-        if (found != report.usageByTeam.end() && now - report.at < m_options.reportLifetime) {
-            demand += found->second.demand;
+        if (now - report.at >= m_options.reportLifetime) {
+            continue;
         }
+        unreported -= 1.0;
+        const auto found = report.usageByTeam.find(team);
+        reported += found == report.usageByTeam.end() ? 0.0 : found->second.demand;
     }
+    return std::max(bucket.use.demand, earlier) + reported + earlier * std::max(0.0, unreported);
+}
+
+// Returns the fraction of the requests of all VMs that may be admitted if @p left tokens are left.
+auto TeamLimits::admissionFraction(const Bucket &bucket, const TeamId &team, const TeamRate &rate,
+                                   double left, TimePoint now) const -> double
+{
     const auto allowed = rate.perSecond + left / toSeconds(m_options.correctionTime);
-    return std::clamp(allowed / std::max(demand, 1.0), 0.0, 1.0);
+    return std::clamp(allowed / std::max(estimateDemand(bucket, team, now), 1.0), 0.0, 1.0);
 }
 
 auto TeamLimits::estimateUnreported(const TeamId &team, TimePoint now) const -> double
@@ -106,14 +130,19 @@
         const auto known = last.usageByTeam.find(team);
         const auto before = sameRun && known != last.usageByTeam.end() ? known->second.admitted : 0;
         const auto bucket = m_buckets.find(team);
-        // The first report of a run only sets the baseline: its counter includes requests from
-        // before this VM knew of the run.
-        if (sameRun && bucket != m_buckets.end()) {
-            // Negative after refunds.
-            const auto more = static_cast<std::int64_t>(use.admitted - before);
-            auto &level = bucket->second.level;
-            level = std::min(bucket->second.capacity, level - static_cast<double>(more));
+        if (bucket == m_buckets.end()) {
+            continue;
         }
+        // Negative after refunds.
+        const auto more = static_cast<double>(static_cast<std::int64_t>(use.admitted - before));
+        // The counter of a process that was not known before may include requests that the bucket
+        // has recovered from.
+        const auto unseen =
+            std::min<Duration>(now - bucket->second.createdAt, m_options.maxExtrapolation);
+        const auto recent = use.admittedRate * averageCorrection(now) * toSeconds(unseen);
+        auto &level = bucket->second.level;
+        level =
+            std::min(bucket->second.capacity, level - (sameRun ? more : std::min(more, recent)));
     }
     if (!sameRun) {
         last.usageByTeam.clear();
@@ -133,7 +162,7 @@
         auto use = bucket.use;
         const auto decay =
             std::exp(-toSeconds(now - bucket.updatedAt) / toSeconds(m_options.window));
-        use.demand *= decay;
+        use.demand *= decay * averageCorrection(now);
         use.admittedRate *= decay;
         const auto active = use.demand > negligible;
         if (active || bucket.reported) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,6 +38,8 @@
 /// Interval at which a VM reports its requests per key to the controller. It is independent of the
 /// heartbeat interval, so that hot keys move within two seconds in a large fleet as well.
 inline constexpr milliseconds workReportInterval{300};
+/// Time after the start within which the first heartbeats of the other VMs arrive.
+inline constexpr milliseconds firstHeartbeatsTime{1000};
 /// Number of missed heartbeats after which a VM is considered dead.
 inline constexpr int maxMissedHeartbeats = 3;
 
@@ -50,6 +52,7 @@
 public:
     Gateway(EventLoop &loop, GatewaySettings settings)
         : m_loop(loop)
+        , m_startedAt(loop.now())
         , m_settings(std::move(settings))
         , m_incarnation(randomHex(incarnationBytes))
         , m_metrics(m_settings.vm)
@@ -69,7 +72,7 @@
                            },
                        .onOwnership =
                            [this](const OwnershipView &view) { m_controllerRunner.onView(view); }})
-        , m_limits({})
+        , m_limits({}, loop.now())
         , m_slots(
               {.self = m_settings.vm,
                .process = m_incarnation,
@@ -344,8 +347,6 @@
     auto sendHeartbeat() -> void
     {
         const auto now = m_loop.now();
-        const auto vms = m_view.aliveCount(now);
-        m_limits.setFleetSize(vms);
         m_link->sendToAll(Heartbeat{.leaving = m_leaving,
                                     .capacity = m_settings.cpuShare,
                                     .topicEnds = topicEnds(),
@@ -372,9 +373,18 @@
         }
     }
 
+    // Returns the number of serving VMs. After the start, all VMs of the store's records are
+    // presumed to serve until their heartbeats tell.
+    [[nodiscard]] auto servingVms(TimePoint now) const -> std::size_t
+    {
+        return now - m_startedAt < firstHeartbeatsTime ? m_view.members().size() + 1
+                                                       : m_view.aliveCount(now);
+    }
+
     auto tick() -> void
     {
         const auto now = m_loop.now();
+        m_limits.setFleetSize(servingVms(now));
         if (m_storeView.takeServersChanged(now)) {
             updateServers();
         }
@@ -461,6 +471,7 @@
     }
 
     EventLoop &m_loop;
+    TimePoint m_startedAt;
     GatewaySettings m_settings;
     std::string m_incarnation;
     Metrics m_metrics;
--- a/tests/unit/team_limits_test.cpp
+++ b/tests/unit/team_limits_test.cpp
@@ -30,6 +30,18 @@
         }
     }
 
+    // Starts the processes of all VMs anew. The first report of a process comes after 250 ms.
+    auto restart() -> void
+    {
+        m_refunds.clear();
+        m_process += 1;
+        for (auto &vm : m_vms) {
+            vm = std::make_unique<TeamLimits>(TeamLimitOptions{}, m_now);
+            vm->setFleetSize(m_vms.size());
+        }
+        m_reportAt = m_now + milliseconds(250);
+    }
+
     // Of the admitted requests, this fraction is refused by a full queue, and has not run.
     auto setNotRunFraction(double fraction) -> void
     {
@@ -101,7 +113,7 @@
             for (std::size_t to = 0; to < m_vms.size(); ++to) {
                 if (from != to) {
                     const auto name = std::string("vm").append(std::to_string(from));
-                    m_vms[to]->report(VmId(name), "1", usageByTeam, m_now);
+                    m_vms[to]->report(VmId(name), std::to_string(m_process), usageByTeam, m_now);
                 }
             }
         }
@@ -117,6 +129,7 @@
     TimePoint m_now = start;
     TimePoint m_reportAt = start;
     std::size_t m_requestCount = 0;
+    int m_process = 1;
 };
 
 // Returns the maximum number of admitted requests in any window of five seconds.
@@ -201,6 +214,47 @@
     }
 }
 
+TEST_CASE("VMs that all start anew do not each admit the whole rate of a team")
+{
+    struct Row
+    {
+        std::size_t vms;
+        milliseconds reportInterval;
+        TeamRate rate;
+    };
+    const auto rows = std::vector<Row>{
+        {10, milliseconds(250), {.perSecond = 120, .burst = 120}},
+        {83, milliseconds(830), {.perSecond = 120, .burst = 120}},
+        {83, milliseconds(830), {.perSecond = 35, .burst = 35}},
+    };
+    for (const auto &row : rows) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            auto fleet = Fleet(row.vms, seed, row.reportInterval);
+            const auto demand = row.rate.perSecond * 5;
+            auto admitted = fleet.simulate(demand, row.rate, seconds(10));
+            fleet.restart();
+            const auto later = fleet.simulate(demand, row.rate, seconds(10));
+            admitted.insert(admitted.end(), later.begin(), later.end());
+            CAPTURE(row.vms);
+            CAPTURE(row.rate.perSecond);
+            CAPTURE(seed);
+            CHECK(static_cast<double>(maxInWindow(admitted)) < windowLimit(row.rate));
+        }
+    }
+}
+
+TEST_CASE("a VM that is heard of for the first time after long does not use up a team's tokens")
+{
+    auto limits = TeamLimits({}, start);
+    const auto rate = TeamRate{.perSecond = 35, .burst = 35};
+    REQUIRE(limits.admit(team, rate, start));
+    const auto later = start + seconds(100);
+    REQUIRE(limits.admit(team, rate, later));
+    limits.report(VmId("other"), "1",
+                  {{team, {.admitted = 1000, .demand = 10.0, .admittedRate = 10.0}}}, later);
+    CHECK(limits.level(team) > 0.0);
+}
+
 TEST_CASE("requests that are refused before they run do not use up the rate of their team")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
