--- a/include/figlanding/gateway/key_ownership.h
+++ b/include/figlanding/gateway/key_ownership.h
@@ -112,8 +112,10 @@
     /// Load per capacity below which no load is moved away from a server, as a move costs more than
     /// it gains.
     double minBusyLoad = 5.0;
-    /// Load per capacity at which a server has no free slot. A key that brings any server above it
-    /// stays where it is: it would move again and again, and nobody can serve it meanwhile.
+    /// Load per capacity at which a server has no free slot: in the two seconds over which requests
+    /// are counted, a slot runs about 13 requests of 150 ms, the unit of capacity. A key that
+    /// brings any server above it stays where it is: it would move again and again, and nobody
+    /// could serve it meanwhile.
     double saturatedLoad = 13.3;
     /// A server below this fraction of its fair share of the load, and of the number of keys,
     /// always gets keys: it has just joined.
