Log and count reads of the store that replace one in flight

The logs of a VM that served an old configuration showed no failed read, and no read at all: a read that is replaced while it is in flight ends without a trace.

A VM now logs `read-replaced` with the topic, the time since the read was sent, the reads in flight and the records it lacks, and counts figlanding_store_reads_replaced_total{topic}.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -274,6 +274,16 @@
                                  {{"topic", name}, {"error", describe(error)}});
                     }
                 },
+            .onReplaced =
+                [this, name](const ReplacedRead &read) {
+                    m_metrics.countReplacedRead(name);
+                    const auto sentFor = std::chrono::duration_cast<milliseconds>(read.sentFor);
+                    logEvent(LogLevel::Info, "read-replaced",
+                             {{"topic", name},
+                              {"ms", sentFor.count()},
+                              {"unanswered", read.unanswered},
+                              {"behind", read.behind}});
+                },
             .relay = [this](const TopicUpdate &update) { m_link->sendToAll(update); },
             .rank =
                 [this](const std::string &topic) { return m_view.rankOf(topic, m_loop.now()); }};
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -31,6 +31,16 @@
     milliseconds catchUpPause{200}; ///< time for missing records to be relayed before a read
 };
 
+/// A read that was replaced by another one, because the store did not respond to it.
+struct ReplacedRead
+{
+    Duration sentFor{}; ///< time since the read was sent
+    std::size_t unanswered = 0; ///< reads in flight, this one included
+    LogOffset behind = 0; ///< records that another VM has and this one lacks
+
+    auto operator==(const ReplacedRead &) const -> bool = default;
+};
+
 /// Callbacks of TopicFollower.
 struct TopicFollowerHandlers
 {
@@ -47,6 +57,8 @@
     std::function<void(TimePoint sentAt, LogOffset end)> onRead;
     /// Called after each failed read.
     std::function<void(const Error &)> onFailure;
+    /// Called when a read replaces one that is still in flight. May be empty.
+    std::function<void(const ReplacedRead &)> onReplaced = {};
     /// Relays records to the other VMs.
     std::function<void(const TopicUpdate &)> relay;
     /// Returns how many live VMs precede this one as readers of the topic.
@@ -156,11 +168,13 @@
                                });
             return;
         }
+        m_unanswered += 1;
         m_store.read({.topic = m_options.topic,
                       .from = m_nextOffset,
                       .wait = m_options.wait,
                       .freshConnection = freshConnection},
                      [this, sentAt, number](const Settled<KeyedPage> &page) {
+                         m_unanswered -= 1;
                          if (number == m_readNumber) {
                              onPage(sentAt, page);
                          } else if (page) {
@@ -189,6 +203,11 @@
         if (m_timer.active()) {
             readNext();
         } else if (m_schedule.hasTimedOut(m_sentAt, m_loop.now())) {
+            if (m_handlers.onReplaced) {
+                m_handlers.onReplaced({.sentFor = m_loop.now() - m_sentAt,
+                                       .unanswered = m_unanswered,
+                                       .behind = m_peerEnd - m_nextOffset});
+            }
             readNext(true);
         }
     }
@@ -367,6 +386,7 @@
     /// late, are applied only if they contain new records: over a slow link every one may be late.
     std::uint64_t m_readNumber = 0;
     TimePoint m_sentAt; ///< when the last read was sent
+    std::size_t m_unanswered = 0; ///< reads of records in flight, replaced ones included
     TimePoint m_confirmedAt; ///< all records appended before it are applied
     LogOffset m_nextOffset = 0;
 };
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -98,6 +98,9 @@
     MetricCache<prometheus::Counter> slotMismatches{registerCounterFamily(
         registry, "figlanding_slot_mismatches_total",
         "Slots and tickets that do not belong to the request that uses them, by kind.")};
+    MetricCache<prometheus::Counter> replacedReads{registerCounterFamily(
+        registry, "figlanding_store_reads_replaced_total",
+        "Reads of the store that were replaced while they were in flight, by topic.")};
     MetricCache<prometheus::Counter> retries{registerCounterFamily(
         registry, "figlanding_retries_total", "Second and later attempts at a request, by cause.")};
     MetricCache<prometheus::Counter> dispatches{registerCounterFamily(
@@ -167,6 +170,11 @@
     m_impl->slotMismatches.get(kind, {{"kind", kind}}).Increment();
 }
 
+auto Metrics::countReplacedRead(const std::string &topic) -> void
+{
+    m_impl->replacedReads.get(topic, {{"topic", topic}}).Increment();
+}
+
 auto Metrics::countRetry(const std::string &cause) -> void
 {
     m_impl->retries.get(cause, {{"cause", cause}}).Increment();
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -46,6 +46,9 @@
     /// Counts a slot or a ticket that does not belong to the request that uses it.
     /// @param kind what does not match: "acquire", "response" or "service"
     auto countSlotMismatch(const std::string &kind) -> void;
+    /// Counts a read of the store that was replaced while it was in flight.
+    /// @param topic "configuration", "servers" or "fleet"
+    auto countReplacedRead(const std::string &topic) -> void;
     /// Counts a second or later attempt at a request.
     /// @param cause reason for the retry, such as "not-run" or "hedge"
     auto countRetry(const std::string &cause) -> void;
--- a/tests/contract/metrics_test.cpp
+++ b/tests/contract/metrics_test.cpp
@@ -18,6 +18,7 @@
     metrics.countFilterDecision("limit", FilterOutcome::Refused);
     metrics.countRefusal(RefusalReason::RateLimited);
     metrics.countSlotMismatch("acquire");
+    metrics.countReplacedRead("configuration");
     metrics.countRetry("not-run");
     metrics.countRetry("not-run");
     metrics.countDispatch(BackendServerId("s1"), Verdict::MayHaveRun, milliseconds(20));
@@ -37,6 +38,7 @@
         R"(figlanding_filter_decisions_total{filter="limit",outcome="refused"} 1)",
         R"(figlanding_refusals_total{reason="rate-limited"} 1)",
         R"(figlanding_slot_mismatches_total{kind="acquire"} 1)",
+        R"(figlanding_store_reads_replaced_total{topic="configuration"} 1)",
         R"(figlanding_retries_total{cause="not-run"} 2)",
         R"(figlanding_dispatches_total{server="s1",verdict="may-have-run"} 1)",
         R"(figlanding_server_queue_length{server="s1"} 4)",
