Do not repeat a read of the store while its response arrives

Cause: a read of existing records counted as unanswered 400 ms after it was sent, and was sent again on another connection, every 400 ms. A configuration of 1,200 routes (250 KB) needs 0.2 s over a free link of 10 Mbit/s and more over one that is in use, so the responses shared the link and each took longer than the timeout of the whole call (wait + 900 ms). A replaced read that ends by timeout leaves no trace, so the VM reported no failure and never got the record: a congestion collapse by its own repetitions.

Change: a read goes on while parts of its response arrive (at most 900 ms apart, 8 s in all), and is replaced only after 400 ms without a part; each further replacement waits twice as long.

The fault proxy got a rate limit of all connections together for it; its limit of one connection would not show the fault.

--- a/include/figlanding/gateway/relay_schedule.h
+++ b/include/figlanding/gateway/relay_schedule.h
@@ -24,8 +24,9 @@
     /// Interval between reads of rank 0, including the store's long-poll wait.
     milliseconds period{500};
     milliseconds step{120}; ///< increase of the relay timeout between ranks
-    /// Timeout of a read of existing records. The store answers these within a few milliseconds, so
-    /// no response within this time means that the connection is dead.
+    /// Time without a part of a response, after which a read of existing records is replaced. The
+    /// store answers these within a few milliseconds, so the connection is probably dead. Doubled
+    /// with each further replacement: over a full link the repeated responses delay each other.
     milliseconds readTimeout{400};
     /// After its start a VM relays nothing for this time. VMs that start with it have sent their
     /// first heartbeats by then.
@@ -61,8 +62,11 @@
     /// Returns whether this VM should relay what it reads: it did not start just now, and it has
     /// rank 0, or no relay arrived within its relay timeout.
     [[nodiscard]] auto shouldRelay(std::size_t rank, TimePoint now) const -> bool;
-    /// Returns whether a read of existing records that was sent at @p sentAt has timed out.
-    [[nodiscard]] auto hasTimedOut(TimePoint sentAt, TimePoint now) const -> bool;
+    /// Returns whether a read of existing records is to be replaced.
+    /// @param silentSince when it was sent, or when the last part of a response arrived
+    /// @param replaced number of reads that were replaced since the last response
+    [[nodiscard]] auto hasTimedOut(TimePoint silentSince, std::uint32_t replaced,
+                                   TimePoint now) const -> bool;
     /// Returns the delay after a failed read: an exponential backoff, because requests that the
     /// store rejects cost as much as successful ones.
     /// @param failures number of consecutive failures
--- a/include/figlanding/gateway/store.h
+++ b/include/figlanding/gateway/store.h
@@ -52,6 +52,16 @@
     LogOffset from = 0; ///< offset of the first record
     milliseconds wait{}; ///< long poll: how long the store waits for a first record
     bool freshConnection = false; ///< open a new connection, after a read without a response
+    /// Called when a part of the response has arrived. May be empty.
+    std::function<void()> onProgress = {};
+};
+
+/// Parameters of a read of the newest records.
+struct NewestRequest
+{
+    std::string topic;
+    bool freshConnection = false; ///< as for ReadRequest
+    std::function<void()> onProgress = {}; ///< as for ReadRequest
 };
 
 /// Parameters of an append.
@@ -75,15 +85,18 @@
 /// Asynchronous access to the store. Each callback runs exactly once, and never before the call
 /// returns.
 ///
+/// A read ends with Timeout when no part of its response arrives for too long. Large responses take
+/// longer over slow links.
+///
 /// Errors: OffsetGap if requested records were deleted, VersionConflict if the topic does not end
 /// at the expected offset, LimitExceeded and LogUnavailable if the operation was not performed,
 /// Timeout and ConnectionFailed if it is unknown whether it was performed.
 template <typename Type>
 concept Store = requires(Type store, ReadRequest read, AppendRequest append, GroupRequest group,
-                         std::string topic)
+                         NewestRequest newest)
 {
     store.read(read, std::function<void(Settled<KeyedPage>)>());
-    store.readNewest(topic, std::function<void(Settled<KeyedSnapshot>)>());
+    store.readNewest(newest, std::function<void(Settled<KeyedSnapshot>)>());
     store.append(append, std::function<void(Settled<LogOffset>)>());
     store.joinGroup(group, std::function<void(Settled<bool>)>());
     store.leaveGroup(group);
--- a/src/core/gateway/relay_schedule.cpp
+++ b/src/core/gateway/relay_schedule.cpp
@@ -62,9 +62,11 @@
     return !isSilent(now) && (rank == 0 || due <= now);
 }
 
-auto RelaySchedule::hasTimedOut(TimePoint sentAt, TimePoint now) const -> bool
+auto RelaySchedule::hasTimedOut(TimePoint silentSince, std::uint32_t replaced, TimePoint now) const
+    -> bool
 {
-    return now - sentAt >= m_options.readTimeout;
+    constexpr auto maxDoublings = std::uint32_t{3};
+    return now - silentSince >= m_options.readTimeout * (1U << std::min(replaced, maxDoublings));
 }
 
 auto RelaySchedule::pauseAfterFailure(std::uint32_t failures) const -> Duration
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -146,6 +146,12 @@
     }
 
 private:
+    struct Read
+    {
+        std::uint64_t number = 0;
+        TimePoint sentAt;
+    };
+
     /// Limit of the records in a datagram; a single record may be larger.
     static constexpr std::size_t maxRelayBytes = 4096;
     /// A larger record does not fit into a datagram even when compressed, so every VM reads it from
@@ -156,27 +162,28 @@
     auto readNext(bool freshConnection = false) -> void
     {
         m_timer.stop();
-        const auto sentAt = m_loop.now();
-        const auto number = ++m_readNumber;
-        m_sentAt = sentAt;
+        m_sentAt = m_loop.now();
+        m_unanswered += 1;
+        const auto current = Read{.number = ++m_readNumber, .sentAt = m_sentAt};
         if (m_needsSnapshot) {
-            m_store.readNewest(m_options.topic,
-                               [this, sentAt, number](const Settled<KeyedSnapshot> &snapshot) {
-                                   if (number == m_readNumber) {
-                                       onSnapshot(sentAt, snapshot);
-                                   }
+            m_store.readNewest({.topic = m_options.topic,
+                                .freshConnection = freshConnection,
+                                .onProgress = [this] { m_progressAt = m_loop.now(); }},
+                               [this, current](const Settled<KeyedSnapshot> &snapshot) {
+                                   m_unanswered -= 1;
+                                   onSnapshot(current, snapshot);
                                });
             return;
         }
-        m_unanswered += 1;
         m_store.read({.topic = m_options.topic,
                       .from = m_nextOffset,
                       .wait = m_options.wait,
-                      .freshConnection = freshConnection},
-                     [this, sentAt, number](const Settled<KeyedPage> &page) {
+                      .freshConnection = freshConnection,
+                      .onProgress = [this] { m_progressAt = m_loop.now(); }},
+                     [this, current](const Settled<KeyedPage> &page) {
                          m_unanswered -= 1;
-                         if (number == m_readNumber) {
-                             onPage(sentAt, page);
+                         if (current.number == m_readNumber) {
+                             onPage(current.sentAt, page);
                          } else if (page) {
                              apply(newestOfEachKey(page.value().records), page.value().next);
                          }
@@ -202,7 +209,9 @@
         }
         if (m_timer.active()) {
             readNext();
-        } else if (m_schedule.hasTimedOut(m_sentAt, m_loop.now())) {
+        } else if (m_schedule.hasTimedOut(std::max(m_sentAt, m_progressAt), m_replaced,
+                                          m_loop.now())) {
+            m_replaced += 1;
             if (m_handlers.onReplaced) {
                 m_handlers.onReplaced({.sentFor = m_loop.now() - m_sentAt,
                                        .unanswered = m_unanswered,
@@ -296,13 +305,16 @@
         m_handlers.relay(batch);
     }
 
-    auto onSnapshot(TimePoint sentAt, const Settled<KeyedSnapshot> &snapshot) -> void
+    // A read that another one has replaced still counts if its response arrives.
+    auto onSnapshot(const Read &read, const Settled<KeyedSnapshot> &snapshot) -> void
     {
+        const auto replaced = read.number != m_readNumber;
         if (!snapshot) {
-            onFailure(snapshot.error());
+            if (!replaced) {
+                onFailure(snapshot.error());
+            }
             return;
         }
-        m_consecutiveFailures = 0;
         m_needsSnapshot = false;
         // Records that were relayed meanwhile may be newer than the snapshot.
         if (!m_hasSnapshot || snapshot.value().end >= m_nextOffset) {
@@ -310,8 +322,13 @@
             m_nextOffset = snapshot.value().end;
             m_handlers.onSnapshot(snapshot.value().records);
         }
-        m_confirmedAt = std::max(m_confirmedAt, sentAt);
-        m_handlers.onRead(sentAt, m_nextOffset);
+        m_confirmedAt = std::max(m_confirmedAt, read.sentAt);
+        if (replaced) {
+            return;
+        }
+        m_consecutiveFailures = 0;
+        m_replaced = 0;
+        m_handlers.onRead(read.sentAt, m_nextOffset);
         m_timer.startOnce(m_options.pause);
     }
 
@@ -322,6 +339,7 @@
             return;
         }
         m_consecutiveFailures = 0;
+        m_replaced = 0;
         m_hadGap = false;
         // Upper bound of the age of the data: a long poll that ran its full wait is only as old as
         // the network delay.
@@ -386,7 +404,9 @@
     /// late, are applied only if they contain new records: over a slow link every one may be late.
     std::uint64_t m_readNumber = 0;
     TimePoint m_sentAt; ///< when the last read was sent
-    std::size_t m_unanswered = 0; ///< reads of records in flight, replaced ones included
+    TimePoint m_progressAt; ///< when the last part of a response arrived
+    std::size_t m_unanswered = 0; ///< reads in flight, replaced ones included
+    std::uint32_t m_replaced = 0; ///< reads that were replaced since the last response
     TimePoint m_confirmedAt; ///< all records appended before it are applied
     LogOffset m_nextOffset = 0;
 };
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -54,6 +54,8 @@
     auto completeTransfer(HttpTransfer &transfer, CURLcode code) -> void;
     auto acquireTransfer() -> std::unique_ptr<HttpTransfer>;
     auto releaseTransfer(std::unique_ptr<HttpTransfer> transfer) -> void;
+    auto watchProgress(CallId id, Duration delay) -> void;
+    auto checkProgress(CallId id) -> void;
     auto watchSocket(curl_socket_t fd, int what) -> void;
     auto startTimer(Duration delay) -> void;
 
@@ -72,6 +74,7 @@
     ev_timer timer{};
     std::vector<std::unique_ptr<SocketWatcher>> watchers; // indexed by file descriptor
     std::unordered_map<CallId, std::unique_ptr<HttpTransfer>> active;
+    std::unordered_map<CallId, std::unique_ptr<Timer>> progressTimers; // of slow responses
     std::vector<std::unique_ptr<HttpTransfer>> idle;
     std::deque<RejectedCall> rejected;
     CallId lastId = 0;
@@ -154,6 +157,11 @@
     auto *handle = transfer->handle();
     active.emplace(id, std::move(transfer));
     curl_multi_add_handle(multi, handle);
+    if (callOptions.slowResponse) {
+        progressTimers.emplace(id,
+                               std::make_unique<Timer>(loop, [this, id] { checkProgress(id); }));
+        watchProgress(id, callOptions.timeout);
+    }
     return id;
 }
 
@@ -166,6 +174,7 @@
     }
     auto transfer = std::move(found->second);
     active.erase(found);
+    progressTimers.erase(id);
     curl_multi_remove_handle(multi, transfer->handle());
     releaseTransfer(std::move(transfer));
 }
@@ -232,12 +241,30 @@
     const auto found = active.find(transfer.id());
     auto owned = std::move(found->second);
     active.erase(found);
+    progressTimers.erase(owned->id());
     auto outcome = owned->finish(code);
     auto callback = owned->takeCallback();
     releaseTransfer(std::move(owned));
     callback(std::move(outcome));
 }
 
+auto HttpClient::Impl::watchProgress(CallId id, Duration delay) -> void
+{
+    progressTimers.at(id)->startOnce(delay);
+}
+
+// Ends a call without a byte of its response for too long; otherwise checks again when it would be.
+auto HttpClient::Impl::checkProgress(CallId id) -> void
+{
+    auto &transfer = *active.at(id);
+    const auto left = transfer.dueAt() - MonotonicClock::now();
+    if (left > Duration::zero()) {
+        watchProgress(id, left);
+        return;
+    }
+    completeTransfer(transfer, CURLE_OPERATION_TIMEDOUT);
+}
+
 auto HttpClient::Impl::reportRejected() -> void
 {
     const auto aliveFlag = alive;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -20,10 +20,22 @@
 
 namespace figlanding {
 
+/// How long a call goes on past its timeout while its response is arriving.
+struct SlowResponse
+{
+    milliseconds pause{}; ///< longest time without a byte of the response
+    milliseconds total{}; ///< longest time for the whole call
+
+    auto operator==(const SlowResponse &) const -> bool = default;
+};
+
 /// Options of one call.
 struct HttpCallOptions
 {
     milliseconds timeout{1000}; ///< for the whole call, connecting and retry included
+    std::optional<SlowResponse> slowResponse = std::nullopt; ///< empty: the timeout is final
+    /// Called when a part of the response has arrived; must not use the client. May be empty.
+    std::function<void()> onProgress = {};
     milliseconds connectTimeout{500};
     bool freshConnection = false; ///< opens a new connection instead of reusing one
     milliseconds maxIdleAge{10000}; ///< a connection idle for longer is not reused
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -134,6 +134,7 @@
     m_callback = std::move(callback);
     m_options = options;
     m_start = MonotonicClock::now();
+    m_lastByteAt = m_start;
     m_request = std::move(request);
     discardResponse();
     m_headBytes = 0;
@@ -148,7 +149,7 @@
     curl_easy_setopt(m_easy, CURLOPT_REQUEST_TARGET, m_request.target.c_str());
     setMethodAndBody();
     setHeaders();
-    setTimeouts(options.timeout);
+    setTimeouts(longestTime());
     curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, options.freshConnection ? 1L : 0L);
     const auto maxAge = std::chrono::ceil<seconds>(options.maxIdleAge).count();
     curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, std::max<long>(1, maxAge));
@@ -159,7 +160,7 @@
     m_staleConnection = false;
     m_socket = -1;
     curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
-    setTimeouts(m_options.timeout - (MonotonicClock::now() - m_start));
+    setTimeouts(longestTime() - (MonotonicClock::now() - m_start));
 }
 
 auto HttpTransfer::shouldRetry() const -> bool
@@ -215,6 +216,28 @@
     curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headerNodes.data());
 }
 
+auto HttpTransfer::dueAt() const -> TimePoint
+{
+    const auto due = m_start + m_options.timeout;
+    const auto &slow = m_options.slowResponse;
+    return slow && m_lastByteAt > m_start ? std::max(due, m_lastByteAt + slow->pause) : due;
+}
+
+auto HttpTransfer::longestTime() const -> milliseconds
+{
+    return m_options.slowResponse ? m_options.slowResponse->total : m_options.timeout;
+}
+
+auto HttpTransfer::recordProgress() -> void
+{
+    if (m_options.slowResponse) {
+        m_lastByteAt = MonotonicClock::now();
+    }
+    if (m_options.onProgress) {
+        m_options.onProgress();
+    }
+}
+
 auto HttpTransfer::takeCallback() -> HttpClient::Callback
 {
     return std::exchange(m_callback, nullptr);
@@ -445,12 +468,15 @@
 auto HttpTransfer::onHeader(char *data, size_t size, size_t count, void *self) -> size_t
 {
     auto *transfer = static_cast<HttpTransfer *>(self);
+    transfer->recordProgress();
     return transfer->appendHeaderLine({data, size * count}) ? size * count : 0;
 }
 
 auto HttpTransfer::onBody(char *data, size_t size, size_t count, void *self) -> size_t
 {
-    return static_cast<HttpTransfer *>(self)->appendBody({data, size * count}) ? size * count : 0;
+    auto *transfer = static_cast<HttpTransfer *>(self);
+    transfer->recordProgress();
+    return transfer->appendBody({data, size * count}) ? size * count : 0;
 }
 
 auto HttpTransfer::onProgress(void *self, curl_off_t, curl_off_t, curl_off_t, curl_off_t) -> int
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -52,6 +52,8 @@
     {
         return m_id;
     }
+    /// Returns when the call times out if no further byte of its response arrives.
+    [[nodiscard]] auto dueAt() const -> TimePoint;
     [[nodiscard]] auto takeCallback() -> HttpClient::Callback;
     /// Frees what was received and not moved out.
     auto discardResponse() -> void;
@@ -61,6 +63,8 @@
     auto setMethodAndBody() -> void;
     auto setHeaders() -> void;
     auto setTimeouts(Duration timeLeft) -> void;
+    [[nodiscard]] auto longestTime() const -> milliseconds;
+    auto recordProgress() -> void;
     auto admitConnection(ConnectionEndpoints endpoints) -> bool;
     auto appendHeaderLine(std::string_view line) -> bool;
     auto completeHead() -> bool;
@@ -96,6 +100,7 @@
     HttpClient::Callback m_callback;
     HttpCallOptions m_options;
     TimePoint m_start;
+    TimePoint m_lastByteAt; ///< of the response; the start of the call until one arrives
     HttpRequest m_request;
     std::vector<std::string> m_headerLines;
     std::vector<curl_slist> m_headerNodes;
--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -541,3 +541,41 @@
     client.cancel(id);
     CHECK(client.bufferedBytes() == 0);
 }
+
+TEST_CASE("a call whose response keeps arriving goes on past its timeout, up to its total time")
+{
+    const auto head = std::string("HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n");
+    const auto slow = SlowResponse{.pause = milliseconds(200), .total = milliseconds(600)};
+    const auto timeout = milliseconds(200);
+    SUBCASE("until the end of its total time")
+    {
+        auto server = RawServer(
+            {{{RawAction::ReadRequest}, {RawAction::Send, head}, {RawAction::Trickle, "x"}}});
+        const auto outcome =
+            callAndWait(server.address(), {}, {.timeout = timeout, .slowResponse = slow});
+        CHECK(outcome.error.code == ErrorCode::Timeout);
+        CHECK(outcome.elapsed > timeout + slow.pause);
+    }
+    SUBCASE("until no part of it has arrived for too long")
+    {
+        auto server = RawServer(
+            {{{RawAction::ReadRequest}, {RawAction::Send, head + "x"}, {RawAction::Hold}}});
+        auto parts = 0;
+        const auto outcome =
+            callAndWait(server.address(), {},
+                        {.timeout = timeout, .slowResponse = slow, .onProgress = [&] { ++parts; }});
+        CHECK(outcome.error.code == ErrorCode::Timeout);
+        CHECK(outcome.elapsed >= slow.pause);
+        CHECK(outcome.elapsed < slow.total);
+        CHECK(parts > 0);
+    }
+    SUBCASE("but ends at its timeout without any part of it")
+    {
+        auto server = RawServer({{{RawAction::ReadRequest}, {RawAction::Hold}}});
+        const auto outcome =
+            callAndWait(server.address(), {}, {.timeout = timeout, .slowResponse = slow});
+        CHECK(outcome.error.code == ErrorCode::Timeout);
+        CHECK(outcome.elapsed >= timeout);
+        CHECK(outcome.elapsed < slow.total);
+    }
+}
--- a/tests/contract/platform_streams_test.cpp
+++ b/tests/contract/platform_streams_test.cpp
@@ -113,7 +113,7 @@
         auto client = HttpClient(loop, {});
         auto store = StoreClient(client, server.address());
         auto result = std::optional<ErrorCode>{};
-        store.readNewest("keyed.op", [&](const auto &snapshot) {
+        store.readNewest({.topic = "keyed.op"}, [&](const auto &snapshot) {
             result = snapshot ? ErrorCode::Internal : snapshot.error().code;
         });
         await(loop, result);
@@ -135,7 +135,7 @@
     auto client = HttpClient(loop, {});
     auto store = StoreClient(client, server.address());
     auto result = std::optional<ErrorCode>{};
-    store.readNewest("keyed.op", [&](const auto &snapshot) {
+    store.readNewest({.topic = "keyed.op"}, [&](const auto &snapshot) {
         result = snapshot ? ErrorCode::Internal : snapshot.error().code;
     });
     await(loop, result);
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -24,7 +24,7 @@
         m_reads.push_back(m_loop.now());
         m_latePage = std::exchange(m_page, std::move(callback));
     }
-    auto readNewest(const std::string &, std::function<void(Settled<KeyedSnapshot>)> callback)
+    auto readNewest(const NewestRequest &, std::function<void(Settled<KeyedSnapshot>)> callback)
         -> void
     {
         m_snapshotReads.push_back(m_loop.now());
--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -40,6 +40,11 @@
     auto forward() -> void;
     /// Stops forwarding permanently, without closing either side.
     auto freeze() -> void;
+    /// Returns whether bytes of the target wait to be written to the client.
+    [[nodiscard]] auto hasResponse() const -> bool
+    {
+        return !m_targetToClient.empty();
+    }
 
 private:
     auto stopWatching() -> void;
@@ -145,8 +150,11 @@
     constexpr auto unlimited = std::numeric_limits<std::size_t>::max();
     const auto rate = m_proxy.m_faults.throttleBytesPerSecond;
     m_clientToTarget.write(now, unlimited);
-    m_targetToClient.write(
-        now, rate == 0 ? unlimited : std::max<std::size_t>(1, rate / throttleStepsPerSecond));
+    const auto allowance =
+        rate == 0 ? unlimited : std::max<std::size_t>(1, rate / throttleStepsPerSecond);
+    const auto share = m_proxy.linkShare(now);
+    const auto written = m_targetToClient.write(now, std::min(allowance, share));
+    m_proxy.m_linkBytes -= std::min(written, m_proxy.m_linkBytes);
     if (m_clientToTarget.sourceClosed() && m_clientToTarget.empty()) {
         ::shutdown(m_target.get(), SHUT_WR);
     }
@@ -171,7 +179,8 @@
         const auto write = due ? IoEvents::Write : IoEvents::None;
         return static_cast<IoEvents>(static_cast<int>(read) | static_cast<int>(write));
     };
-    const auto throttled = m_proxy.m_faults.throttleBytesPerSecond > 0;
+    const auto &faults = m_proxy.m_faults;
+    const auto throttled = faults.throttleBytesPerSecond > 0 || faults.linkBytesPerSecond > 0;
     m_clientWatcher.watch(events(m_clientToTarget, m_targetToClient, throttled));
     m_targetWatcher.watch(events(m_targetToClient, m_clientToTarget, false));
     if (m_clientToTarget.empty() && m_targetToClient.empty()) {
@@ -245,6 +254,7 @@
 auto FaultProxy::setFaults(ProxyFaults faults) -> void
 {
     m_faults = faults;
+    m_linkBytes = 0;
     auto ids = std::vector<std::uint64_t>{};
     for (const auto &[id, connection] : m_connections) {
         ids.push_back(id);
@@ -254,6 +264,24 @@
     }
 }
 
+// Returns how many bytes a connection may carry now: an equal share of what the link carries in one
+// throttle interval, among the connections that have something to send.
+auto FaultProxy::linkShare(TimePoint now) -> std::size_t
+{
+    const auto rate = m_faults.linkBytesPerSecond;
+    if (rate == 0) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    const auto elapsed = std::chrono::duration<double>(now - m_linkRefilledAt).count();
+    const auto most = rate / throttleStepsPerSecond;
+    const auto added = static_cast<std::size_t>(static_cast<double>(rate) * elapsed);
+    m_linkRefilledAt = now;
+    m_linkBytes = std::min(most, m_linkBytes + added);
+    const auto busy = std::count_if(m_connections.begin(), m_connections.end(),
+                                    [](const auto &item) { return item.second->hasResponse(); });
+    return std::min(m_linkBytes, most / static_cast<std::size_t>(std::max<long>(1, busy)));
+}
+
 auto FaultProxy::freezeEstablished() -> void
 {
     for (const auto &[id, connection] : m_connections) {
@@ -274,12 +302,13 @@
     if (faults.value("cut", false)) {
         closeEstablished();
     }
-    auto replacement = ProxyFaults{.partition = faults.value("partition", false),
-                                   .delay = milliseconds(faults.value("delay_ms", 0)),
-                                   .throttleBytesPerSecond =
-                                       faults.value("throttle_bytes_per_second", std::size_t{0}),
-                                   .dropResponses = faults.value("drop_answers", 0),
-                                   .duplicateReads = faults.value("double_answers", 0)};
+    auto replacement = ProxyFaults{
+        .partition = faults.value("partition", false),
+        .delay = milliseconds(faults.value("delay_ms", 0)),
+        .throttleBytesPerSecond = faults.value("throttle_bytes_per_second", std::size_t{0}),
+        .linkBytesPerSecond = faults.value("link_bytes_per_second", std::size_t{0}),
+        .dropResponses = faults.value("drop_answers", 0),
+        .duplicateReads = faults.value("double_answers", 0)};
     if (faults.contains("cut_after_bytes")) {
         replacement.closeAfterBytes = faults.value("cut_after_bytes", std::size_t{0});
     }
--- a/tests/standins/fault_proxy.h
+++ b/tests/standins/fault_proxy.h
@@ -33,6 +33,8 @@
     bool partition = false;
     milliseconds delay{0}; ///< "delay_ms": delays all bytes in both directions
     std::size_t throttleBytesPerSecond = 0; ///< rate limit; 0: unlimited
+    /// "link_bytes_per_second": rate limit of all connections together; 0: unlimited
+    std::size_t linkBytesPerSecond = 0;
     std::optional<std::size_t> closeAfterBytes; ///< "cut_after_bytes": closes at this count
     int dropResponses = 0; ///< "drop_answers": next reads from the target discarded, then closed
     int duplicateReads = 0; ///< "double_answers": next reads from the target sent twice
@@ -71,10 +73,13 @@
     class ProxiedConnection;
     auto acceptAll() -> void;
     auto remove(std::uint64_t id) -> void;
+    [[nodiscard]] auto linkShare(TimePoint now) -> std::size_t;
 
     EventLoop &m_loop;
     FaultProxyOptions m_options;
     ProxyFaults m_faults;
+    std::size_t m_linkBytes = 0; ///< that the link may carry now
+    TimePoint m_linkRefilledAt;
     FileDescriptor m_listener;
     std::unique_ptr<IoWatcher> m_watcher;
     std::map<std::uint64_t, std::unique_ptr<ProxiedConnection>> m_connections;
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -276,8 +276,17 @@
 TEST_CASE("a read of existing records times out without a response")
 {
     const auto schedule = RelaySchedule({.readTimeout = milliseconds(400)});
-    CHECK_FALSE(schedule.hasTimedOut(start, start + milliseconds(399)));
-    CHECK(schedule.hasTimedOut(start, start + milliseconds(400)));
+    CHECK_FALSE(schedule.hasTimedOut(start, 0, start + milliseconds(399)));
+    CHECK(schedule.hasTimedOut(start, 0, start + milliseconds(400)));
+}
+
+TEST_CASE("each read that replaces a silent one is given twice as much time as the one before")
+{
+    const auto schedule = RelaySchedule({.readTimeout = milliseconds(400)});
+    CHECK_FALSE(schedule.hasTimedOut(start, 1, start + milliseconds(799)));
+    CHECK(schedule.hasTimedOut(start, 1, start + milliseconds(800)));
+    CHECK(schedule.hasTimedOut(start, 2, start + milliseconds(1600)));
+    CHECK(schedule.hasTimedOut(start, 30, start + milliseconds(3200)));
 }
 
 TEST_CASE("large configuration records fit into a datagram, and damaged datagrams are rejected")
