Refuse requests while another VM has had a newer configuration for a while

A VM that is told of records that it lacks knows that its configuration is not in force. When it has lacked them for `Propagation` less 0.5 s, it refuses requests as not run with a Retry-After of 0.3 s; callers come back at other VMs, which have the newer one. While the store is away nobody has a newer one, and requests are served as before. Weighed against: serving on (an API key that was taken away is used on), or not being ready (callers of open connections would still be served).

Tests: a new case in contract.request_admission_test and one in contract.topic_follower_test; both need the new query and could not be written before.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,8 +92,7 @@
                .retryReserve = m_settings.retryReserve * retryShare,
                .randomSeed = std::random_device{}()},
               {.state = [this] { return m_storeView.state(); },
-               .stateConfirmed =
-                   [this] { return m_operatorFollower.isCurrent(m_settings.propagation); },
+               .stateStatus = [this] { return configurationStatus(); },
                .registry = [this]() -> const ServerRegistry & { return m_storeView.registry(); },
                .owner = [this](const auto &service,
                                auto key) { return m_storeView.ownerOf(service, key); },
@@ -236,6 +235,10 @@
     /// A period of failed reads counts as an outage if it is longer than this.
     static constexpr milliseconds minOutage{800};
 
+    /// A VM that lacks a newer configuration stops to serve by the older one this long before the
+    /// newer one has to be in force: it learns of it from others after the store's confirmation.
+    static constexpr milliseconds outdatedMargin{500};
+
     using StoreType = typename Platform::StoreType;
     using Follower = TopicFollower<StoreType>;
     using RecordShortener = std::function<std::optional<KeyedRecord>(const KeyedRecord &)>;
@@ -245,6 +248,16 @@
         return m_storeView.state() && m_storeView.serversKnown() && !m_leaving;
     }
 
+    [[nodiscard]] auto configurationStatus() const -> ConfigurationStatus
+    {
+        if (m_operatorFollower.isBehind(m_settings.propagation - outdatedMargin)) {
+            return ConfigurationStatus::Outdated;
+        }
+        return m_operatorFollower.isCurrent(m_settings.propagation)
+            ? ConfigurationStatus::Confirmed
+            : ConfigurationStatus::Unconfirmed;
+    }
+
     template <typename OnRecord, typename OnSnapshot>
     auto followerHandlers(const char *name, Outage &topicOutage, OnRecord onRecord,
                           OnSnapshot onSnapshot, const RecordShortener &shorten = {})
--- a/src/gateway/request_admission.cpp
+++ b/src/gateway/request_admission.cpp
@@ -7,17 +7,24 @@
 
 namespace {
 
-/// A VM that reads its configuration has it within about this time.
-constexpr milliseconds viewRetryAfter{300};
+// Refuses a request that another VM, or this one a little later, may serve.
+auto refusalForNow(std::string detail) -> Refusal
+{
+    /// A VM that reads its configuration has it within about this time.
+    constexpr auto retryAfter = milliseconds(300);
+    return {.reason = RefusalReason::ViewNotFresh,
+            .detail = std::move(detail),
+            .retryAfter = retryAfter};
+}
 
 } // namespace
 
 RequestAdmission::RequestAdmission(const RequestAdmissionOptions &options, TeamLimits &limits,
-                                   StateQuery state, ConfirmationQuery confirmed)
+                                   StateQuery state, StatusQuery status)
     : m_options(options)
     , m_limits(limits)
     , m_state(std::move(state))
-    , m_confirmed(std::move(confirmed))
+    , m_status(std::move(status))
     , m_random(options.randomSeed)
 { }
 
@@ -25,9 +32,10 @@
 {
     active.state = m_state();
     if (!active.state) {
-        return Refusal{.reason = RefusalReason::ViewNotFresh,
-                       .detail = "no configuration yet",
-                       .retryAfter = viewRetryAfter};
+        return refusalForNow("no configuration yet");
+    }
+    if (status() == ConfigurationStatus::Outdated) {
+        return refusalForNow("a newer configuration is in force");
     }
     const auto &request = active.exchange->request();
     active.route = active.state->findRoute(active.caller.host, pathOf(request.target));
@@ -71,16 +79,19 @@
     return std::nullopt;
 }
 
+auto RequestAdmission::status() const -> ConfigurationStatus
+{
+    return m_status ? m_status() : ConfigurationStatus::Confirmed;
+}
+
 // Callers do not repeat a request whose route or API key does not exist. While a newer
 // configuration may be in force that has it, they are told to come back.
 auto RequestAdmission::refusalOfUnknown(RefusalReason reason, std::string detail) const -> Refusal
 {
-    if (!m_confirmed || m_confirmed()) {
+    if (status() == ConfigurationStatus::Confirmed) {
         return {.reason = reason, .detail = std::move(detail)};
     }
-    return {.reason = RefusalReason::ViewNotFresh,
-            .detail = "configuration not confirmed",
-            .retryAfter = viewRetryAfter};
+    return refusalForNow("configuration not confirmed");
 }
 
 auto RequestAdmission::onEnd(const ActiveRequest &active) -> void
--- a/src/gateway/request_admission.h
+++ b/src/gateway/request_admission.h
@@ -28,6 +28,13 @@
     auto operator==(const RequestAdmissionOptions &) const -> bool = default;
 };
 
+/// What is known of the newest configuration that this VM has.
+enum class ConfigurationStatus {
+    Confirmed, ///< it is in force
+    Unconfirmed, ///< a newer one may be in force
+    Outdated, ///< another VM has had a newer one for a while
+};
+
 /// Admits requests by the newest configuration and the limits of the teams.
 class RequestAdmission
 {
@@ -35,14 +42,14 @@
     /// Returns the newest configuration; null until one was read.
     using StateQuery = std::function<std::shared_ptr<const DesiredStateIndex>()>;
 
-    /// Returns whether the configuration is known to be in force.
-    using ConfirmationQuery = std::function<bool()>;
+    using StatusQuery = std::function<ConfigurationStatus()>;
 
     /// @param limits must outlive this object
-    /// @param confirmed decides whether a request whose route or API key is missing from the
-    /// configuration is refused for good, or for now; empty: for good
+    /// @param status of the configuration. Unless it is confirmed, a request whose route or API key
+    /// is missing is refused for now, not for good; while it is outdated, every request is. Empty:
+    /// always confirmed
     RequestAdmission(const RequestAdmissionOptions &options, TeamLimits &limits, StateQuery state,
-                     ConfirmationQuery confirmed = {});
+                     StatusQuery status = {});
 
     /// Fills in the fields of @p active that follow from its caller and the configuration.
     /// @return the refusal if the request is not admitted
@@ -53,12 +60,13 @@
 
 private:
     [[nodiscard]] auto admitTeam(ActiveRequest &active) -> std::optional<Refusal>;
+    [[nodiscard]] auto status() const -> ConfigurationStatus;
     [[nodiscard]] auto refusalOfUnknown(RefusalReason reason, std::string detail) const -> Refusal;
 
     RequestAdmissionOptions m_options;
     TeamLimits &m_limits;
     StateQuery m_state;
-    ConfirmationQuery m_confirmed;
+    StatusQuery m_status;
     RandomEngine m_random;
     std::uniform_real_distribution<double> m_uniform{0.0, 1.0};
     RetryTimeEstimator m_retryTime;
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -39,8 +39,8 @@
 {
     /// Returns the newest configuration; null until one was read.
     std::function<std::shared_ptr<const DesiredStateIndex>()> state;
-    /// Returns whether that configuration is known to be in force; empty: always.
-    std::function<bool()> stateConfirmed = {};
+    /// Returns what is known of that configuration; empty: always confirmed.
+    std::function<ConfigurationStatus()> stateStatus = {};
     std::function<const ServerRegistry &()> registry;
     /// Returns the owner of a key; empty if the key has no owner.
     std::function<ServerIncarnation(const ServiceId &, ShardKey)> owner;
@@ -66,7 +66,7 @@
         , m_options(options)
         , m_handlers(std::move(handlers))
         , m_admission({.randomSeed = m_options.randomSeed}, limits, m_handlers.state,
-                      m_handlers.stateConfirmed)
+                      m_handlers.stateStatus)
         , m_retries({.ratio = m_options.retryRatio,
                      .reserve = m_options.retryReserve,
                      .minTimeToSend = m_options.minTimeToSend})
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -100,6 +100,9 @@
     /// Records that another VM has read up to @p end, and schedules a read if this VM is behind.
     auto onPeerEnd(LogOffset end) -> void
     {
+        if (end > m_peerEnd && m_peerEnd <= m_nextOffset && end > m_nextOffset) {
+            m_behindSince = m_loop.now();
+        }
         m_peerEnd = std::max(m_peerEnd, end);
         if (m_hasSnapshot && m_peerEnd > m_nextOffset && !m_catchUpTimer.active()) {
             m_catchUpTimer.startOnce(m_options.catchUpPause);
@@ -140,6 +143,12 @@
     {
         return m_hasSnapshot && m_nextOffset >= m_peerEnd && m_loop.now() - m_confirmedAt < maxAge;
     }
+    /// Returns whether another VM has read records that this one has lacked for longer than
+    /// @p delay.
+    [[nodiscard]] auto isBehind(Duration delay) const -> bool
+    {
+        return m_nextOffset < m_peerEnd && m_loop.now() - m_behindSince > delay;
+    }
     [[nodiscard]] auto topic() const -> const std::string &
     {
         return m_options.topic;
@@ -396,6 +405,7 @@
     Timer m_timer;
     Timer m_catchUpTimer;
     LogOffset m_peerEnd = 0; ///< highest end offset that another VM reported
+    TimePoint m_behindSince; ///< since when this VM has known that another one has read more
     bool m_hasSnapshot = false; ///< a snapshot was read at least once
     bool m_needsSnapshot = true; ///< the next read is one of the snapshot
     bool m_hadGap = false; ///< since the last page that was read
--- a/tests/contract/request_admission_test.cpp
+++ b/tests/contract/request_admission_test.cpp
@@ -34,7 +34,7 @@
         return refusal;
     }
 
-    bool confirmed = true;
+    ConfigurationStatus status = ConfigurationStatus::Confirmed;
 
 private:
     auto admit(HttpExchange exchange, const std::string &apiKey) -> std::optional<Refusal>
@@ -60,7 +60,7 @@
                      .services = {{.id = ServiceId("rooms")}},
                      .teams = {{.id = TeamId("t"), .apiKeys = {"key"}}}});
     RequestAdmission m_admission{
-        {}, m_limits, [this] { return m_state; }, [this] { return confirmed; }};
+        {}, m_limits, [this] { return m_state; }, [this] { return status; }};
 };
 
 auto reasonOf(const std::optional<Refusal> &refusal) -> std::optional<RefusalReason>
@@ -75,10 +75,21 @@
     auto vm = Admitting();
     CHECK(reasonOf(vm.admit("/new/", "key")) == RefusalReason::NoRoute);
     CHECK(reasonOf(vm.admit("/known/", "new")) == RefusalReason::InvalidTeamKey);
-    vm.confirmed = false;
+    vm.status = ConfigurationStatus::Unconfirmed;
     for (const auto &refusal : {vm.admit("/new/", "key"), vm.admit("/known/", "new")}) {
         REQUIRE(reasonOf(refusal) == RefusalReason::ViewNotFresh);
         CHECK(refusal->retryAfter.has_value());
     }
     CHECK_FALSE(vm.admit("/known/", "key"));
 }
+
+TEST_CASE("a VM that has lacked a newer configuration for a while serves nothing by the older one")
+{
+    auto vm = Admitting();
+    vm.status = ConfigurationStatus::Outdated;
+    for (const auto &refusal :
+         {vm.admit("/known/", "key"), vm.admit("/new/", "key"), vm.admit("/known/", "new")}) {
+        REQUIRE(reasonOf(refusal) == RefusalReason::ViewNotFresh);
+        CHECK(refusal->retryAfter.has_value());
+    }
+}
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -218,6 +218,27 @@
     CHECK(following.follower.isCurrent(milliseconds(1000)));
 }
 
+TEST_CASE("a view is behind from the time at which another VM is known to have read more")
+{
+    auto following = Following{};
+    following.rank = 3;
+    following.startAndFail(0);
+    const auto &follower = following.follower;
+    const auto delay = milliseconds(100);
+    following.runUntil([] { return false; }, milliseconds(150));
+    following.follower.onPeerEnd(10);
+    CHECK_FALSE(follower.isBehind(Duration::zero()));
+    following.follower.onPeerEnd(11);
+    CHECK_FALSE(follower.isBehind(delay));
+    CHECK(following.runUntil([&] { return follower.isBehind(delay); }, milliseconds(150)));
+    following.follower.onPeerEnd(12); // the first record that is missing counts
+    CHECK(follower.isBehind(delay));
+    following.follower.onRelayReceived({.topic = "t", .from = 10, .next = 12});
+    CHECK_FALSE(follower.isBehind(Duration::zero()));
+    following.follower.onPeerEnd(13);
+    CHECK_FALSE(follower.isBehind(delay));
+}
+
 TEST_CASE("a view that neither a read nor a relay has confirmed for some time is not current")
 {
     auto following = Following{};
