Count the age of a read from when it was sent unless it waited to the end

The age of a page was the time of its read less the whole wait of the long poll. The store answers such a read as soon as it has a record, so a page that returned at once and then took a second over a slow link counted as new when it arrived, and its relays told the other VMs so. The check whether a view is confirmed, which decides between 404 and 503 for a route that is missing, could thus be wrong by the wait (1.2 s).

The wait is now taken off only from an empty page that took at least as long. The relay schedule counts from the arrival of a relay instead of from that age, which is now larger on purpose.

The new case of contract.topic_follower_test failed before: a page whose read took 700 ms was current for 600 ms, and relayed as 502 ms old.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -107,7 +107,8 @@
     LogOffset next = 0; ///< offset after the last one that it covers
     /// The records between the two offsets that change the receiver's state.
     std::vector<KeyedRecord> records;
-    milliseconds age{}; ///< time since the sender read the records
+    /// Upper bound of the time since the store had no further record in the topic.
+    milliseconds age{};
     bool complete = true; ///< false: a record that belongs in the update is too large to be relayed
     /// A record states only what changed since the one before it. Builds that do not know this form
     /// drop the datagram and read the store.
--- a/include/figlanding/gateway/relay_schedule.h
+++ b/include/figlanding/gateway/relay_schedule.h
@@ -49,8 +49,7 @@
     /// Records that this VM starts to follow the topic. Its relay timeout begins then.
     auto onStart(TimePoint now) -> void;
     /// Records that another VM relayed all records up to the end of the topic.
-    /// @param readAt when that VM read them
-    auto onRelayReceived(TimePoint readAt) -> void;
+    auto onRelayReceived(TimePoint now) -> void;
     /// Returns the time from @p now until the VM should start its next read.
     /// @param rank number of live VMs that precede this one
     /// @param pause delay until the next read if the VM reads by itself
--- a/src/core/gateway/relay_schedule.cpp
+++ b/src/core/gateway/relay_schedule.cpp
@@ -29,10 +29,10 @@
     m_startedAt = now;
 }
 
-auto RelaySchedule::onRelayReceived(TimePoint readAt) -> void
+auto RelaySchedule::onRelayReceived(TimePoint now) -> void
 {
     m_relayed = true;
-    m_relayedAt = std::max(m_relayedAt, readAt);
+    m_relayedAt = std::max(m_relayedAt, now);
 }
 
 auto RelaySchedule::isSilent(TimePoint now) const -> bool
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -120,7 +120,7 @@
         }
         m_needsSnapshot = false;
         m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - update.age);
-        m_schedule.onRelayReceived(m_loop.now() - update.age);
+        m_schedule.onRelayReceived(m_loop.now());
         if (m_timer.active()) {
             scheduleRead(m_options.pause);
         }
@@ -341,6 +341,15 @@
         m_timer.startOnce(m_options.pause);
     }
 
+    // Returns an upper bound of the age of a page. The store answers a long poll as soon as it has
+    // a record, at any time since the read was sent; only an empty page is known to be answered at
+    // the end of the wait.
+    [[nodiscard]] auto ageOf(const KeyedPage &page, Duration elapsed) const -> milliseconds
+    {
+        const auto waited = page.records.empty() && elapsed >= m_options.wait;
+        return std::chrono::ceil<milliseconds>(waited ? elapsed - m_options.wait : elapsed);
+    }
+
     auto onPage(TimePoint sentAt, const Settled<KeyedPage> &page) -> void
     {
         if (!page) {
@@ -350,11 +359,7 @@
         m_consecutiveFailures = 0;
         m_replaced = 0;
         m_hadGap = false;
-        // Upper bound of the age of the data: a long poll that ran its full wait is only as old as
-        // the network delay.
-        const auto elapsed =
-            std::chrono::duration_cast<milliseconds>(m_loop.now() - sentAt) - m_options.wait;
-        const auto age = std::max(milliseconds(0), elapsed);
+        const auto age = ageOf(page.value(), m_loop.now() - sentAt);
         const auto next = page.value().next;
         const auto records = newestOfEachKey(page.value().records);
         if (shouldRelay(next)) {
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -273,3 +273,17 @@
         KeyedPage{.end = 12, .next = 12, .records = {{.offset = 10}, {.offset = 11}}}));
     CHECK(following.applied.size() == 1);
 }
+
+TEST_CASE("a view is as old as the read of its records, which may have taken long to arrive")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    const auto longTransfer = milliseconds(700);
+    following.runUntil([] { return false; }, longTransfer);
+    following.store.respond(
+        Settled<KeyedPage>(KeyedPage{.end = 11, .next = 11, .records = {{.offset = 10}}}));
+    CHECK(following.follower.end() == 11);
+    CHECK_FALSE(following.follower.isCurrent(milliseconds(600)));
+    REQUIRE(following.relayed.size() == 1);
+    CHECK(following.relayed[0].age >= milliseconds(650));
+}
