Keep to the limits that servers state, over all VMs together

Slots bound how many requests run at once, not how many start in a second, and nothing else counts over all VMs.

Change: ServerTerms holds what a server asks of its callers in a response, decoded in platform/ from responses that are certain to be its own. Requests beyond it are refused at once as not run, with a Retry-After by that rate, as for servers without free slots. A limit ends with a response without one whose request was granted after the limit was known, so that a late response does not end it. Heartbeats report the limits, so that a VM that takes the servers over knows them; where a VM decides by itself, it uses its part. Owners of keys count as having the capacity of their limit, at least a third of the usual one.

The new case of contract.gateway_test failed before: 303 requests in 4 s at a server that states 6 a second, 41 allowed.

--- a/include/figlanding/gateway/caller_protocol.h
+++ b/include/figlanding/gateway/caller_protocol.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/clock.h"
 #include "figlanding/gateway/key_ownership.h"
+#include "figlanding/gateway/server_terms.h"
 #include "figlanding/gateway/slot_broker.h"
 #include "figlanding/http_message.h"
 #include "figlanding/refusal.h"
@@ -52,6 +53,7 @@
 {
     ResponseKind kind = ResponseKind::Foreign;
     std::optional<LoadReport> load;
+    std::optional<ServerTerms> terms; ///< empty if another server may have responded
 
     auto operator==(const ServerResponse &) const -> bool = default;
 };
--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -38,6 +38,8 @@
     std::map<TeamId, TeamUsage> usageByTeam; ///< see TeamLimits::takeUsage()
     /// Number of server groups of each service, see SlotClient::groupCounts().
     std::map<ServiceId, std::size_t> groupCounts;
+    /// Limits that servers stated to the sender, see SlotClient::statedLimits().
+    std::vector<ServerLimit> serverLimits;
 
     auto operator==(const Heartbeat &) const -> bool = default;
 };
@@ -95,6 +97,7 @@
     SlotEnd end = SlotEnd::Served;
     milliseconds elapsed{}; ///< time spent at the server
     std::optional<LoadReport> load;
+    std::optional<ServerTerms> terms;
 
     auto operator==(const SlotRelease &) const -> bool = default;
 };
--- a/include/figlanding/gateway/key_capacity.h
+++ b/include/figlanding/gateway/key_capacity.h
@@ -21,15 +21,18 @@
 {
 public:
     /// @param serviceTimes last reported, by server
+    /// @param limits that servers state, in requests per second, by server; may be null
     ServerCapacities(const ServerRegistry &registry, const ServiceId &service,
-                     const std::map<BackendServerId, milliseconds> &serviceTimes);
+                     const std::map<BackendServerId, milliseconds> &serviceTimes,
+                     const std::map<BackendServerId, double> *limits = nullptr);
 
-    /// Returns the throughput of @p server: that of a server with one slot and a service time of
-    /// 150 ms is 1.
+    /// Returns the throughput of @p server within its limit: that of a server with one slot and a
+    /// service time of 150 ms is 1.
     [[nodiscard]] auto of(const RegisteredServer &server) const -> double;
 
 private:
     const std::map<BackendServerId, milliseconds> &m_serviceTimes;
+    const std::map<BackendServerId, double> *m_limits;
     double m_medianMs = 0.0;
 };
 
--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -137,6 +137,8 @@
     std::vector<ServiceId> keyedServices;
     const std::map<ServiceId, std::vector<float>> &loads; ///< decaying request counts by key
     const std::map<BackendServerId, milliseconds> &serviceTimes; ///< last reported
+    /// Limits that servers state, in requests per second; null: none.
+    const std::map<BackendServerId, double> *limits = nullptr;
 };
 
 /// Settings of KeyController.
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/clock.h"
 #include "figlanding/gateway/key_ownership.h"
+#include "figlanding/gateway/server_terms.h"
 #include "figlanding/names.h"
 #include "figlanding/random.h"
 
@@ -18,8 +19,8 @@
 ///
 /// Keeps servers with few slots usable at or above their capacity: requests queue in the broker
 /// instead of at a server, so that the most urgent request gets the next free slot of the fastest
-/// server, no server gets more requests than it runs concurrently, and a server that is still
-/// warming up gets no more requests than its cold rate.
+/// server, no server gets more requests than it runs concurrently, a server that is still warming
+/// up gets no more requests than its cold rate, and one that states a limit gets no more than that.
 
 namespace figlanding {
 
@@ -95,6 +96,15 @@
     auto operator==(const KnownTicket &) const -> bool = default;
 };
 
+/// A limit that a server states.
+struct ServerLimit
+{
+    ServerIncarnation server;
+    double requestsPerSecond = 0.0; ///< of all VMs together
+
+    auto operator==(const ServerLimit &) const -> bool = default;
+};
+
 /// How a request that held a slot ended.
 enum class SlotEnd {
     Served, ///< complete response
@@ -123,6 +133,7 @@
     SlotEnd end = SlotEnd::Served;
     Duration elapsed{}; ///< time spent at the server
     std::optional<LoadReport> load;
+    std::optional<ServerTerms> terms; ///< empty if the server did not respond
 };
 
 /// Settings of SlotBroker.
@@ -187,6 +198,19 @@
     /// Returns the average service time of each server at its usual speed. Key rebalancing uses it.
     [[nodiscard]] auto serviceTimes() const -> std::map<BackendServerId, milliseconds>;
 
+    /// Returns the limits that servers stated in recent responses to requests of this broker.
+    [[nodiscard]] auto statedLimits(TimePoint now) const -> std::vector<ServerLimit>;
+    /// Returns the limit of each server that has one, in requests per second. Key rebalancing uses
+    /// it.
+    [[nodiscard]] auto limits(TimePoint now) const -> std::map<BackendServerId, double>;
+    /// Takes over a limit that a server stated to another VM's broker.
+    auto onLimitReport(const ServerLimit &limit, TimePoint now) -> void;
+    /// Sets the part of each stated limit that this broker may use, in (0, 1].
+    auto setLimitShare(double share) -> void
+    {
+        m_limitShare = share;
+    }
+
 private:
     // Losses at a server seen by the VMs of one zone; VMs of other zones may still reach it.
     struct ZoneFailures
@@ -210,6 +234,7 @@
         /// Losses by the zone of the VMs that saw them.
         std::map<AvailabilityZoneId, ZoneFailures> failuresByZone;
         std::deque<TimePoint> grants; ///< grant times within the last second
+        StatedLimit limit;
     };
     // The servers of a service and its request queue.
     struct ServiceGroup
@@ -223,6 +248,7 @@
         BackendServerId owner;
         ServerIncarnation incarnation;
         AvailabilityZoneId zone; ///< of the VM that holds the slot
+        TimePoint grantedAt;
         TimePoint expiresAt;
     };
 
@@ -267,8 +293,12 @@
     auto recordResponse(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void;
     [[nodiscard]] static auto isCold(const Server &server, const SlotRequest &request,
                                      TimePoint now) -> bool;
-    auto recordResult(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
+    [[nodiscard]] auto requestsPerMs(const Server &server, const SlotRequest &request,
+                                     TimePoint now) const -> double;
+    auto recordResult(Server &server, const ActiveGrant &granted, const SlotResult &result,
                       TimePoint now) -> void;
+    auto recordEnd(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
+                   TimePoint now) -> void;
     auto expireGrants(TimePoint now) -> void;
 
     SlotBrokerOptions m_options;
@@ -277,6 +307,7 @@
     std::map<TicketId, ServiceId> m_waiting; ///< service of each queued ticket
     std::map<TicketId, ActiveGrant> m_activeGrants;
     std::vector<SlotDecision> m_decisions;
+    double m_limitShare = 1.0;
 };
 
 } // namespace figlanding
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -48,12 +48,18 @@
     for (const auto &[service, count] : message.groupCounts) {
         groupCounts.push_back({service.value(), count});
     }
+    auto limits = json::array();
+    for (const auto &limit : message.serverLimits) {
+        limits.push_back({limit.server.server.value(), limit.server.startedUnixMs,
+                          toFloatPrecision(limit.requestsPerSecond)});
+    }
     return {static_cast<int>(Kind::Heartbeat),
             message.leaving,
             message.topicEnds,
             std::move(usageByTeam),
             message.capacity,
-            std::move(groupCounts)};
+            std::move(groupCounts),
+            std::move(limits)};
 }
 
 auto toJson(const WorkReport &message) -> json
@@ -98,14 +104,23 @@
             message.process};
 }
 
+// Earlier releases expect a load in front of what follows it. A server has at least one slot, so a
+// load without slots stands for none.
 auto toJson(const SlotRelease &message) -> json
 {
     auto result = json{static_cast<int>(Kind::Release), message.ticket,
                        static_cast<int>(message.end), message.elapsed.count()};
-    if (message.load) {
-        const auto &load = *message.load;
+    if (message.load || message.terms) {
+        const auto load = message.load.value_or(LoadReport{.slots = 0});
         result.push_back({load.running, load.waiting, load.slots, load.slowness});
     }
+    if (message.terms) {
+        auto terms = json::array();
+        if (const auto limit = message.terms->requestsPerSecond) {
+            terms.push_back(toFloatPrecision(*limit));
+        }
+        result.push_back(std::move(terms));
+    }
     return result;
 }
 
@@ -144,6 +159,12 @@
         message.groupCounts.emplace(ServiceId(row.at(0).get<std::string>()),
                                     row.at(1).get<std::size_t>());
     }
+    for (const auto &row : fields.size() > 6 ? fields.at(6) : json::array()) {
+        message.serverLimits.push_back(
+            {.server = {.server = BackendServerId(row.at(0).get<std::string>()),
+                        .startedUnixMs = row.at(1).get<std::int64_t>()},
+             .requestsPerSecond = row.at(2).get<double>()});
+    }
     return message;
 }
 
@@ -197,13 +218,20 @@
     auto message = SlotRelease{.ticket = fields.at(1).get<std::uint64_t>(),
                                .end = static_cast<SlotEnd>(fields.at(2).get<int>()),
                                .elapsed = milliseconds(fields.at(3).get<std::int64_t>())};
-    if (fields.size() > 4) {
+    if (fields.size() > 4 && fields.at(4).at(2).get<std::uint32_t>() > 0) {
         const auto &load = fields.at(4);
         message.load = LoadReport{.running = load.at(0).get<std::uint32_t>(),
                                   .waiting = load.at(1).get<std::uint32_t>(),
                                   .slots = load.at(2).get<std::uint32_t>(),
                                   .slowness = load.at(3).get<double>()};
     }
+    if (fields.size() > 5) {
+        const auto &terms = fields.at(5);
+        message.terms = ServerTerms{};
+        if (!terms.empty()) {
+            message.terms->requestsPerSecond = terms.at(0).get<double>();
+        }
+    }
     return message;
 }
 
--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -202,7 +202,8 @@
 auto KeyController::candidates(const ServiceId &id, const ControllerInputs &inputs,
                                TimePoint now) const -> std::vector<OwnerCandidate>
 {
-    const auto capacities = ServerCapacities(inputs.registry, id, inputs.serviceTimes);
+    const auto capacities =
+        ServerCapacities(inputs.registry, id, inputs.serviceTimes, inputs.limits);
     auto result = std::vector<OwnerCandidate>{};
     for (const auto &[name, server] : inputs.registry.servers()) {
         const auto incarnation =
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -85,7 +85,7 @@
         return;
     }
     if (auto *server = findServer(granted.mapped())) {
-        recordResult(*server, granted.mapped().zone, result, now);
+        recordResult(*server, granted.mapped(), result, now);
     }
     dispatch(m_groups[granted.mapped().service], now);
 }
@@ -159,14 +159,23 @@
     }
 }
 
-auto SlotBroker::recordResult(Server &server, const AvailabilityZoneId &zone,
-                              const SlotResult &result, TimePoint now) -> void
+auto SlotBroker::recordResult(Server &server, const ActiveGrant &granted, const SlotResult &result,
+                              TimePoint now) -> void
 {
-    releaseSlot(server, zone);
+    releaseSlot(server, granted.zone);
     if (result.load) {
         server.slowness = std::clamp(result.load->slowness, 0.1, 20.0);
         server.loadReportedAt = now;
     }
+    if (result.terms) {
+        server.limit.onTerms(*result.terms, granted.grantedAt, now);
+    }
+    recordEnd(server, granted.zone, result, now);
+}
+
+auto SlotBroker::recordEnd(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
+                           TimePoint now) -> void
+{
     switch (result.end) {
     case SlotEnd::Served:
     case SlotEnd::Failed: {
@@ -227,7 +236,7 @@
 {
     const auto &zone = request.zone;
     if (!server.info.acceptsRequests || unavailableUntil(server, zone) > now
-        || server.running >= server.info.slots) {
+        || server.running >= server.info.slots || !server.limit.accepts(m_limitShare, now)) {
         return false;
     }
     // After a loss, only one request at a time probes whether the server has recovered.
@@ -314,6 +323,21 @@
     return fromMilliseconds(typicalServiceMs(group, request) * m_options.minServiceTimeFraction);
 }
 
+// Returns the rate at which a server completes requests, within its cold rate and its limit.
+auto SlotBroker::requestsPerMs(const Server &server, const SlotRequest &request,
+                               TimePoint now) const -> double
+{
+    constexpr auto msPerSecond = 1000.0;
+    auto result = server.info.slots / observedServiceMs(server);
+    if (isCold(server, request, now)) {
+        result = std::min(result, coldRate(server) / msPerSecond);
+    }
+    if (const auto limit = server.limit.requestsPerSecond(now)) {
+        result = std::min(result, *limit * m_limitShare / msPerSecond);
+    }
+    return result;
+}
+
 auto SlotBroker::throughput(const ServiceGroup &group, const SlotRequest &request,
                             TimePoint now) const -> Throughput
 {
@@ -328,9 +352,7 @@
             return;
         }
         result.hasFreeSlot = result.hasFreeSlot || canAccept(server, request, now);
-        const auto warm = server.info.slots / observedServiceMs(server);
-        const auto cold = coldRate(server) / 1000.0;
-        result.perMs += isCold(server, request, now) ? std::min(warm, cold) : warm;
+        result.perMs += requestsPerMs(server, request, now);
     };
     if (!request.owner.empty()) {
         if (const auto found = group.servers.find(request.owner); found != group.servers.end()) {
@@ -393,10 +415,12 @@
         failures.probes += zone == request.zone ? 1 : 0;
     }
     server.grants.push_back(now);
+    server.limit.onRequest(m_limitShare, now);
     m_activeGrants[request.id] = {.service = request.service,
                                   .owner = request.owner,
                                   .incarnation = server.info.incarnation,
                                   .zone = request.zone,
+                                  .grantedAt = now,
                                   .expiresAt = request.deadline + m_options.ticketGrace};
     m_decisions.push_back({.id = request.id, .outcome = SlotGrant{server.info.incarnation}});
 }
@@ -520,4 +544,41 @@
     return result;
 }
 
+auto SlotBroker::limits(TimePoint now) const -> std::map<BackendServerId, double>
+{
+    auto result = std::map<BackendServerId, double>{};
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, server] : group.servers) {
+            if (const auto limit = server.limit.requestsPerSecond(now)) {
+                result.emplace(id, *limit);
+            }
+        }
+    }
+    return result;
+}
+
+auto SlotBroker::statedLimits(TimePoint now) const -> std::vector<ServerLimit>
+{
+    auto result = std::vector<ServerLimit>{};
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, server] : group.servers) {
+            if (server.limit.isRecent(now)) {
+                result.push_back({.server = server.info.incarnation,
+                                  .requestsPerSecond = *server.limit.requestsPerSecond(now)});
+            }
+        }
+    }
+    return result;
+}
+
+auto SlotBroker::onLimitReport(const ServerLimit &limit, TimePoint now) -> void
+{
+    for (auto &[service, group] : m_groups) {
+        const auto found = group.servers.find(limit.server.server);
+        if (found != group.servers.end() && found->second.info.incarnation == limit.server) {
+            found->second.limit.onReport(limit.requestsPerSecond, now);
+        }
+    }
+}
+
 } // namespace figlanding
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -330,6 +330,7 @@
             if (m_slots.raiseGroupCounts(heartbeat->groupCounts)) {
                 updateServers();
             }
+            m_slots.onLimitReports(heartbeat->serverLimits, now);
             m_limits.report(message.from, message.incarnation, heartbeat->usageByTeam, now);
             for (auto *follower : followers()) {
                 const auto end = heartbeat->topicEnds.find(follower->topic());
@@ -374,7 +375,8 @@
                                     .capacity = m_settings.cpuShare,
                                     .topicEnds = topicEnds(),
                                     .usageByTeam = m_limits.takeUsage(now),
-                                    .groupCounts = m_slots.groupCounts()});
+                                    .groupCounts = m_slots.groupCounts(),
+                                    .serverLimits = m_slots.statedLimits(now)});
         if (!m_announced && now >= m_announceAt) {
             m_announceAt = now + milliseconds(1500);
             announceSelf();
@@ -461,10 +463,12 @@
         if (m_controllerRunner.active()) {
             m_keyLoads.decay(m_loop.now());
         }
+        const auto limits = m_slots.limits(m_loop.now());
         auto inputs = ControllerInputs{.registry = m_storeView.registry(),
                                        .keyedServices = {},
                                        .loads = m_keyLoads.loads(),
-                                       .serviceTimes = m_keyLoads.serviceTimes()};
+                                       .serviceTimes = m_keyLoads.serviceTimes(),
+                                       .limits = &limits};
         if (m_storeView.state() && m_storeView.serversKnown()) {
             for (const auto &service : m_storeView.state()->state().services) {
                 if (service.keyed) {
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -296,7 +296,8 @@
         m_slots.release(number,
                         {.end = slotEndOf(response.kind),
                          .elapsed = now - active.sentAt,
-                         .load = response.load},
+                         .load = response.load,
+                         .terms = response.terms},
                         now);
         switch (response.kind) {
         case ResponseKind::Success:
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -203,6 +203,14 @@
     m_fallbackBroker.acquire(ticket.request, now);
 }
 
+auto SlotClient::onLimitReports(const std::vector<ServerLimit> &limits, TimePoint now) -> void
+{
+    for (const auto &limit : limits) {
+        m_broker.onLimitReport(limit, now);
+        m_fallbackBroker.onLimitReport(limit, now);
+    }
+}
+
 auto SlotClient::release(std::uint64_t request, const SlotResult &result, TimePoint now) -> void
 {
     const auto number = m_ticketNumbers.extract(request);
@@ -222,7 +230,8 @@
                     {.ticket = id.number,
                      .end = result.end,
                      .elapsed = toMs(result.elapsed),
-                     .load = result.load},
+                     .load = result.load,
+                     .terms = result.terms},
                     now);
     }
 }
@@ -327,7 +336,11 @@
     -> void
 {
     m_broker.release({.vm = message.from, .process = message.incarnation, .number = release.ticket},
-                     {.end = release.end, .elapsed = release.elapsed, .load = release.load}, now);
+                     {.end = release.end,
+                      .elapsed = release.elapsed,
+                      .load = release.load,
+                      .terms = release.terms},
+                     now);
     deliver(m_broker);
     m_handlers.send(message.from,
                     SlotResponse{.ticket = release.ticket,
@@ -375,6 +388,8 @@
 
 auto SlotClient::tick(TimePoint now) -> void
 {
+    // Without the responsible VM, each VM may be one of all that send to a server.
+    m_fallbackBroker.setLimitShare(1.0 / static_cast<double>(m_view.aliveCount(now)));
     m_broker.tick(now);
     m_fallbackBroker.tick(now);
     // Requests that these granted or refused must not move below.
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -113,6 +113,19 @@
     {
         return m_broker.serviceTimes();
     }
+    /// Returns the limit of each server that has one, in requests per second.
+    [[nodiscard]] auto limits(TimePoint now) const -> std::map<BackendServerId, double>
+    {
+        return m_broker.limits(now);
+    }
+    /// Returns the limits that servers stated to this VM as the one that allocates their slots.
+    /// Sent to all VMs: any of them may be the next to allocate them.
+    [[nodiscard]] auto statedLimits(TimePoint now) const -> std::vector<ServerLimit>
+    {
+        return m_broker.statedLimits(now);
+    }
+    /// Takes over the limits that servers stated to another VM.
+    auto onLimitReports(const std::vector<ServerLimit> &limits, TimePoint now) -> void;
 
 private:
     // A slot or a request for one, held by a request of this VM.
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -451,3 +451,43 @@
     CHECK(deployment.runUntil([&] { return allAnswered(pending); }));
     CHECK(statusOf(pending->front()) == 200);
 }
+
+TEST_CASE("a server gets no more requests from all VMs than the limit that it states")
+{
+    constexpr auto limit = 6.0;
+    auto deployment = Deployment(3);
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+        REQUIRE(deployment.serves(vm, "/read/1"));
+    }
+    auto &server = deployment.server(2);
+    server.options().limit = "6.0";
+    deployment.server(3).options().limit = "6.0";
+    auto served = 0;
+    const auto sendFor = [&](milliseconds span) {
+        for (auto i = 0; i < span / milliseconds(20); ++i) {
+            const auto id = std::to_string(i) + "-" + std::to_string(span.count());
+            for (std::size_t vm = 0; vm < 3; ++vm) {
+                deployment.start(vm, deployment.request("GET", "/read/1", id + std::to_string(vm)),
+                                 [&](const HttpOutcome &outcome) {
+                                     served += outcome.response.status == 200 ? 1 : 0;
+                                 });
+            }
+            deployment.runFor(milliseconds(20));
+        }
+    };
+    sendFor(milliseconds(1000)); // every VM has passed on a response with the limit
+    const auto before = server.arrivals().size();
+    served = 0;
+    constexpr auto window = seconds(4);
+    sendFor(window);
+    const auto arrivals = static_cast<double>(server.arrivals().size() - before);
+    CHECK(arrivals <= 1.5 * limit * window.count() + 5.0);
+    CHECK(served >= 30); // of 48 that both servers accept
+    server.options().limit.clear();
+    deployment.server(3).options().limit.clear();
+    deployment.runFor(milliseconds(2500)); // requests that wait are served
+    served = 0;
+    sendFor(milliseconds(1000));
+    CHECK(served > 60); // the limit has ended
+    deployment.runFor(milliseconds(2500));
+}
--- a/tests/contract/platform_protocol_test.cpp
+++ b/tests/contract/platform_protocol_test.cpp
@@ -189,3 +189,25 @@
     CHECK(response.headers.find("x-request-id") == "id");
     CHECK(response.headers.find("retry-after") == "0.250");
 }
+
+TEST_CASE("a server's limit is read from its own responses only, and only if it is a number")
+{
+    const auto termsOf = [](int status, HttpHeaders headers) {
+        return HttpProtocol::readResponse({.status = status, .headers = std::move(headers)}, "id")
+            .terms;
+    };
+    const auto limit = [](const char *text) {
+        return HttpHeaders{
+            {"x-request-id", "id"}, {"x-upstream-signature", "d"}, {"server-limit", text}};
+    };
+    CHECK(termsOf(200, limit("5.5")) == ServerTerms{.requestsPerSecond = 5.5});
+    CHECK(termsOf(500, limit("12")) == ServerTerms{.requestsPerSecond = 12.0});
+    CHECK(termsOf(503, {{"x-not-executed", "1"}, {"server-limit", "3"}})
+          == ServerTerms{.requestsPerSecond = 3.0});
+    for (const auto *text : {"", "x", "-1", "nan", "inf", "5 "}) {
+        CHECK(termsOf(200, limit(text)) == ServerTerms{});
+    }
+    CHECK(termsOf(200, {{"x-request-id", "id"}, {"x-upstream-signature", "d"}}) == ServerTerms{});
+    CHECK_FALSE(termsOf(421, {{"x-not-executed", "1"}, {"server-limit", "3"}}));
+    CHECK_FALSE(termsOf(200, {{"x-request-id", "other"}, {"server-limit", "3"}}));
+}
--- a/tests/standins/platform_server.cpp
+++ b/tests/standins/platform_server.cpp
@@ -116,6 +116,13 @@
     exchange.respond({.status = 200, .headers = {{"x-lease-handover", "token"}}});
 }
 
+auto PlatformServer::addTerms(HttpResponse &response) const -> void
+{
+    if (!m_options.limit.empty()) {
+        response.headers.set("server-limit", m_options.limit);
+    }
+}
+
 auto PlatformServer::run(HttpExchange exchange) -> void
 {
     constexpr auto misdirected = 421;
@@ -130,8 +137,11 @@
         exchange.respond({.status = misdirected, .headers = {{"x-not-executed", "1"}}});
         return;
     }
+    m_arrivals.push_back(m_loop.now());
     if (m_options.sheds) {
-        exchange.respond({.status = unavailable, .headers = {{"x-not-executed", "1"}}});
+        auto rejection = HttpResponse{.status = unavailable, .headers = {{"x-not-executed", "1"}}};
+        addTerms(rejection);
+        exchange.respond(std::move(rejection));
         return;
     }
     m_runs[id] += 1;
@@ -144,6 +154,7 @@
                                              {"x-upstream-signature", "digest"},
                                              {"x-upstream-load", "1,0,2,100"}},
                                  .body = "done " + m_options.id};
+    addTerms(response);
     m_timers.push_back(std::make_unique<Timer>(
         m_loop, [this, exchange = std::move(exchange), response = std::move(response)]() mutable {
             m_running -= 1;
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -24,6 +24,7 @@
     bool sheds = false; ///< responds with 503 without running the request
     bool fails = false; ///< runs the request and responds with 500
     bool returnsWrongRequestId = false; ///< responds with the id of another request
+    std::string limit; ///< requests per second that it states in its responses; empty: none
 };
 
 /// Runs requests on a loopback port and records them.
@@ -57,6 +58,11 @@
     {
         return m_peakConcurrency;
     }
+    /// Returns when requests arrived that it ran or rejected because it sheds.
+    [[nodiscard]] auto arrivals() const -> const std::vector<TimePoint> &
+    {
+        return m_arrivals;
+    }
     /// Returns the headers of the request that started last.
     [[nodiscard]] auto lastHeaders() const -> const HttpHeaders &
     {
@@ -75,6 +81,7 @@
     auto grant(HttpExchange &exchange) -> void;
     auto release(HttpExchange &exchange) -> void;
     auto run(HttpExchange exchange) -> void;
+    auto addTerms(HttpResponse &response) const -> void;
 
     EventLoop &m_loop;
     PlatformServerOptions m_options;
@@ -82,6 +89,7 @@
     std::vector<Lease> m_leases;
     std::uint64_t m_highestFence = 0;
     std::map<std::string, int> m_runs;
+    std::vector<TimePoint> m_arrivals;
     std::list<std::unique_ptr<Timer>> m_timers;
     int m_running = 0;
     int m_peakConcurrency = 0;
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -148,7 +148,8 @@
         .capacity = 0.2,
         .topicEnds = {{"t", 17}},
         .usageByTeam = {{TeamId("band"), {.admitted = 3, .demand = 2.5, .admittedRate = 1.5}}},
-        .groupCounts = {{ServiceId("s"), 7}}};
+        .groupCounts = {{ServiceId("s"), 7}},
+        .serverLimits = {{.server = {BackendServerId("s"), 7}, .requestsPerSecond = 5.5}}};
     CHECK(roundTrip(heartbeat).payload == FleetPayload(heartbeat));
     const auto acquire = SlotAcquire{.ticket = 9,
                                      .service = ServiceId("s#0"),
@@ -171,6 +172,13 @@
                                   .elapsed = milliseconds(12),
                                   .load = LoadReport{1, 2, 3, 1.5}};
     CHECK(roundTrip(done).payload == FleetPayload(done));
+    for (const auto &terms : {ServerTerms{.requestsPerSecond = 5.5}, ServerTerms{}}) {
+        auto stated = done;
+        stated.terms = terms;
+        CHECK(roundTrip(stated).payload == FleetPayload(stated));
+        stated.load.reset();
+        CHECK(roundTrip(stated).payload == FleetPayload(stated));
+    }
     const auto update =
         TopicUpdate{.topic = "t",
                     .from = 5,
--- a/tests/unit/key_rebalance_test.cpp
+++ b/tests/unit/key_rebalance_test.cpp
@@ -54,7 +54,8 @@
             const auto inputs = ControllerInputs{.registry = m_registry,
                                                  .keyedServices = {service},
                                                  .loads = m_loads,
-                                                 .serviceTimes = m_serviceTimes};
+                                                 .serviceTimes = m_serviceTimes,
+                                                 .limits = &m_limits};
             for (const auto &action : m_controller.tick(inputs, m_now)) {
                 std::visit([this](const auto &content) { handle(content); }, action);
             }
@@ -67,6 +68,10 @@
         loads.resize(shardKeyCount);
         loads[key] = load;
     }
+    auto setLimit(const BackendServerId &server, double requestsPerSecond) -> void
+    {
+        m_limits[server] = requestsPerSecond;
+    }
     auto setServiceTime(const BackendServerId &server, milliseconds time) -> void
     {
         m_serviceTimes[server] = time;
@@ -157,6 +162,7 @@
     ServerRegistry m_registry;
     std::map<ServiceId, std::vector<float>> m_loads;
     std::map<BackendServerId, milliseconds> m_serviceTimes;
+    std::map<BackendServerId, double> m_limits;
     KeyController m_controller{{.self = VmId("vm"), .incarnation = "1"}};
     OwnershipTable m_table = unownedTable();
     BackendServerId m_hangingServer;
@@ -283,6 +289,32 @@
     CHECK(fleet.loadOf(serverName(7)) > 0.2 * 0.01 * shardKeyCount / servers);
 }
 
+TEST_CASE("a server whose limit is below its load gives keys to servers without a limit")
+{
+    constexpr auto servers = 10;
+    constexpr auto capped = 7;
+    auto fleet = FleetFixture(servers);
+    for (auto i = 0; i < servers; ++i) {
+        fleet.setServiceTime(serverName(i), milliseconds(100));
+    }
+    for (auto i = 0; i < capped; ++i) {
+        fleet.setLimit(serverName(i), 4.0); // of 20 requests per second
+    }
+    constexpr auto totalLoad = 300.0;
+    for (ShardKey key = 0; key < shardKeyCount; ++key) {
+        fleet.setLoad(key, static_cast<float>(totalLoad / shardKeyCount));
+    }
+    fleet.run(seconds(10));
+    auto cappedLoad = 0.0;
+    for (auto i = 0; i < capped; ++i) {
+        cappedLoad += fleet.loadOf(serverName(i));
+    }
+    // Of three servers without a limit and seven that count as a third: 131 of 300; by their number
+    // 210.
+    CHECK(cappedLoad < 0.5 * totalLoad);
+    CHECK(cappedLoad > 0.35 * totalLoad);
+}
+
 TEST_CASE("loads are the sums of the counts of all VMs, and decay")
 {
     auto loads = KeyLoads();
--- a/tests/unit/slot_broker_test.cpp
+++ b/tests/unit/slot_broker_test.cpp
@@ -316,3 +316,54 @@
     broker.acquire(request(3, later), later);
     CHECK(grantedTo(broker.takeDecisions(), 3) == "s1");
 }
+
+TEST_CASE("a server that states a limit gets the requests of its limit, and the others are refused")
+{
+    auto broker = SlotBroker({}, 1);
+    broker.setServers(service, {server("s1", 6)});
+    broker.acquire(request(1, start), start);
+    auto result = served(milliseconds(100));
+    result.terms = ServerTerms{.requestsPerSecond = 5.0};
+    broker.release({.vm = VmId("vm"), .number = 1}, result, start);
+    static_cast<void>(broker.takeDecisions());
+    auto granted = 0;
+    auto refused = 0;
+    auto number = std::uint64_t{2};
+    for (auto time = milliseconds(0); time < seconds(4); time += milliseconds(25)) {
+        broker.acquire(request(number++, start + time), start + time);
+        broker.tick(start + time);
+        for (const auto &decision : broker.takeDecisions()) {
+            if (const auto *refusal = std::get_if<SlotRefusal>(&decision.outcome)) {
+                ++refused;
+                CHECK(refusal->retryAfter > milliseconds(100));
+                continue;
+            }
+            ++granted;
+            broker.release(decision.id, result, start + time);
+        }
+    }
+    CHECK(granted <= 21);
+    CHECK(granted >= 18);
+    CHECK(refused >= 130);
+    CHECK(broker.waiting() <= 5); // as many as one second allows
+}
+
+TEST_CASE("a VM that takes servers over knows the limits that they stated to the VM before")
+{
+    auto before = SlotBroker({}, 1);
+    before.setServers(service, {server("s1", 6)});
+    before.acquire(request(1, start), start);
+    auto result = served(milliseconds(100));
+    result.terms = ServerTerms{.requestsPerSecond = 5.0};
+    before.release({.vm = VmId("vm"), .number = 1}, result, start);
+    const auto reports = before.statedLimits(start);
+    REQUIRE(reports.size() == 1);
+    auto after = SlotBroker({}, 2);
+    after.setServers(service, {server("s1", 6)});
+    after.onLimitReport(reports.front(), start);
+    for (std::uint64_t number = 2; number < 8; ++number) {
+        after.acquire(request(number, start), start);
+    }
+    CHECK(after.running() == 0);
+    CHECK(after.statedLimits(start).empty());
+}
