Share a stated limit among the VMs that allocate a server's slots

Cause: the limit was kept by each VM that allocates the server's slots, and in a large fleet several do so at a time. The trace shows grants for one server by edge-sierra-a-6, a-2, c-2, c-19, c-7 and a-1 within four seconds, without any kill: VMs that get no response from a-6 within 250 ms, whose link has 10 Mbit/s, turn to the next one for 1.5 s.

Change: the heartbeat reports of stated limits also say how many requests a second the sender uses of them. Each VM paces at 1.2 times the limit less what the others use, between an equal part of that and the limit itself.

That several VMs allocate the same slots at a time also lets servers get more requests than they have slots; this is older and stays open.

unit.server_terms_test has the case of four VMs at one server; with the change before, each of them would send at the whole limit.

--- a/include/figlanding/gateway/server_terms.h
+++ b/include/figlanding/gateway/server_terms.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/decaying.h"
+#include "figlanding/names.h"
 
+#include <map>
 #include <optional>
 
 /// @file
@@ -18,7 +21,20 @@
     auto operator==(const ServerTerms &) const -> bool = default;
 };
 
-/// Paces the requests of all VMs to a server that states a limit.
+/// What another VM reports of a server's limit.
+struct LimitReport
+{
+    double requestsPerSecond = 0.0; ///< that the server accepts from all VMs together
+    double used = 0.0; ///< requests per second that the reporting VM sends
+
+    auto operator==(const LimitReport &) const -> bool = default;
+};
+
+/// Paces the requests to a server that states a limit, on a VM that allocates the server's slots.
+///
+/// Several VMs may allocate the slots of one server at a time, because VMs without a response from
+/// one turn to the next. Each reports the limits that it paces by and what it uses of them, and
+/// leaves that to the others.
 ///
 /// Responses may arrive out of order. A limit ends with a response without one only if its request
 /// was granted after the limit became known: a response that was sent earlier says nothing about
@@ -26,33 +42,49 @@
 class StatedLimit
 {
 public:
+    StatedLimit();
+
     /// Takes over the terms of a response.
     /// @param grantedAt when its request was granted a slot
     auto onTerms(const ServerTerms &terms, TimePoint grantedAt, TimePoint now) -> void;
-    /// Takes over a limit that the server stated to another VM. It ends unless it is reported
-    /// again; a limit that the server stated here has precedence.
-    auto onReport(double requestsPerSecond, TimePoint now) -> void;
-    /// Returns the rate at which requests are sent, per second; empty if there is no limit. A
-    /// server that accepts almost none still gets some, so that the end of its limit is noticed.
+    /// Takes over a limit that the server stated to another VM, which also sends requests to it. It
+    /// ends unless it is reported again; a limit that the server stated here has precedence.
+    auto onReport(const VmId &from, const LimitReport &report, TimePoint now) -> void;
+    /// Returns the report for the other VMs; empty unless the server stated its limit here within
+    /// the last seconds.
+    [[nodiscard]] auto report(TimePoint now) const -> std::optional<LimitReport>;
+
+    /// Returns the limit in requests per second; empty if there is none. A server that accepts
+    /// almost none still gets some, so that the end of its limit is noticed.
     [[nodiscard]] auto requestsPerSecond(TimePoint now) const -> std::optional<double>;
-    /// Returns whether the server stated its limit here within the last seconds.
-    [[nodiscard]] auto isRecent(TimePoint now) const -> bool;
-    /// Returns whether the server accepts a request now.
-    /// @param share part of the limit that may be used here, in (0, 1]
+    /// Returns the part of the limit that this VM may use, in requests per second; empty if there
+    /// is no limit.
+    /// @param share factor on that part, in (0, 1]
+    [[nodiscard]] auto pace(double share, TimePoint now) const -> std::optional<double>;
+    /// Returns whether this VM may send a request now.
+    /// @param share as for pace()
     [[nodiscard]] auto accepts(double share, TimePoint now) const -> bool;
     /// Counts a request against the limit.
-    /// @param share as for accepts()
+    /// @param share as for pace()
     auto onRequest(double share, TimePoint now) -> void;
 
 private:
+    struct ReceivedReport
+    {
+        TimePoint at;
+        double used = 0.0;
+    };
+
     [[nodiscard]] auto tokens(double share, TimePoint now) const -> double;
-    auto start(double requestsPerSecond, TimePoint now) -> void;
+    auto set(double requestsPerSecond, TimePoint now) -> void;
 
     std::optional<double> m_requestsPerSecond;
     bool m_reported = false; ///< known from another VM only
     TimePoint m_knownSince;
     TimePoint m_heardAt;
     TimePoint m_newestGrantAt; ///< of the requests whose responses stated the limit
+    std::map<VmId, ReceivedReport> m_reports; ///< the last of each other VM
+    DecayingRate m_used; ///< requests of this VM
     double m_tokens = 0.0; ///< at m_countedAt
     TimePoint m_countedAt;
 };
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -96,11 +96,11 @@
     auto operator==(const KnownTicket &) const -> bool = default;
 };
 
-/// A limit that a server states.
+/// A report of a server's limit.
 struct ServerLimit
 {
     ServerIncarnation server;
-    double requestsPerSecond = 0.0; ///< of all VMs together
+    LimitReport limit;
 
     auto operator==(const ServerLimit &) const -> bool = default;
 };
@@ -204,7 +204,7 @@
     /// it.
     [[nodiscard]] auto limits(TimePoint now) const -> std::map<BackendServerId, double>;
     /// Takes over a limit that a server stated to another VM's broker.
-    auto onLimitReport(const ServerLimit &limit, TimePoint now) -> void;
+    auto onLimitReport(const VmId &from, const ServerLimit &limit, TimePoint now) -> void;
     /// Sets the part of each stated limit that this broker may use, in (0, 1].
     auto setLimitShare(double share) -> void
     {
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -51,7 +51,8 @@
     auto limits = json::array();
     for (const auto &limit : message.serverLimits) {
         limits.push_back({limit.server.server.value(), limit.server.startedUnixMs,
-                          toFloatPrecision(limit.requestsPerSecond)});
+                          toFloatPrecision(limit.limit.requestsPerSecond),
+                          toFloatPrecision(limit.limit.used)});
     }
     return {static_cast<int>(Kind::Heartbeat),
             message.leaving,
@@ -163,7 +164,8 @@
         message.serverLimits.push_back(
             {.server = {.server = BackendServerId(row.at(0).get<std::string>()),
                         .startedUnixMs = row.at(1).get<std::int64_t>()},
-             .requestsPerSecond = row.at(2).get<double>()});
+             .limit = {.requestsPerSecond = row.at(2).get<double>(),
+                       .used = row.at(3).get<double>()}});
     }
     return message;
 }
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -332,8 +332,8 @@
     if (isCold(server, request, now)) {
         result = std::min(result, coldRate(server) / msPerSecond);
     }
-    if (const auto limit = server.limit.requestsPerSecond(now)) {
-        result = std::min(result, *limit * m_limitShare / msPerSecond);
+    if (const auto pace = server.limit.pace(m_limitShare, now)) {
+        result = std::min(result, *pace / msPerSecond);
     }
     return result;
 }
@@ -562,21 +562,20 @@
     auto result = std::vector<ServerLimit>{};
     for (const auto &[service, group] : m_groups) {
         for (const auto &[id, server] : group.servers) {
-            if (server.limit.isRecent(now)) {
-                result.push_back({.server = server.info.incarnation,
-                                  .requestsPerSecond = *server.limit.requestsPerSecond(now)});
+            if (const auto limit = server.limit.report(now)) {
+                result.push_back({.server = server.info.incarnation, .limit = *limit});
             }
         }
     }
     return result;
 }
 
-auto SlotBroker::onLimitReport(const ServerLimit &limit, TimePoint now) -> void
+auto SlotBroker::onLimitReport(const VmId &from, const ServerLimit &limit, TimePoint now) -> void
 {
     for (auto &[service, group] : m_groups) {
         const auto found = group.servers.find(limit.server.server);
         if (found != group.servers.end() && found->second.info.incarnation == limit.server) {
-            found->second.limit.onReport(limit.requestsPerSecond, now);
+            found->second.limit.onReport(from, limit.limit, now);
         }
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -330,7 +330,7 @@
             if (m_slots.raiseGroupCounts(heartbeat->groupCounts)) {
                 updateServers();
             }
-            m_slots.onLimitReports(heartbeat->serverLimits, now);
+            m_slots.onLimitReports(message.from, heartbeat->serverLimits, now);
             m_limits.report(message.from, message.incarnation, heartbeat->usageByTeam, now);
             for (auto *follower : followers()) {
                 const auto end = heartbeat->topicEnds.find(follower->topic());
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -203,11 +203,12 @@
     m_fallbackBroker.acquire(ticket.request, now);
 }
 
-auto SlotClient::onLimitReports(const std::vector<ServerLimit> &limits, TimePoint now) -> void
+auto SlotClient::onLimitReports(const VmId &from, const std::vector<ServerLimit> &limits,
+                                TimePoint now) -> void
 {
     for (const auto &limit : limits) {
-        m_broker.onLimitReport(limit, now);
-        m_fallbackBroker.onLimitReport(limit, now);
+        m_broker.onLimitReport(from, limit, now);
+        m_fallbackBroker.onLimitReport(from, limit, now);
     }
 }
 
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -125,7 +125,8 @@
         return m_broker.statedLimits(now);
     }
     /// Takes over the limits that servers stated to another VM.
-    auto onLimitReports(const std::vector<ServerLimit> &limits, TimePoint now) -> void;
+    auto onLimitReports(const VmId &from, const std::vector<ServerLimit> &limits, TimePoint now)
+        -> void;
 
 private:
     // A slot or a request for one, held by a request of this VM.
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -149,7 +149,8 @@
         .topicEnds = {{"t", 17}},
         .usageByTeam = {{TeamId("band"), {.admitted = 3, .demand = 2.5, .admittedRate = 1.5}}},
         .groupCounts = {{ServiceId("s"), 7}},
-        .serverLimits = {{.server = {BackendServerId("s"), 7}, .requestsPerSecond = 5.5}}};
+        .serverLimits = {{.server = {BackendServerId("s"), 7},
+                          .limit = {.requestsPerSecond = 5.5, .used = 1.5}}}};
     CHECK(roundTrip(heartbeat).payload == FleetPayload(heartbeat));
     const auto acquire = SlotAcquire{.ticket = 9,
                                      .service = ServiceId("s#0"),
--- a/tests/unit/server_terms_test.cpp
+++ b/tests/unit/server_terms_test.cpp
@@ -2,11 +2,15 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 using namespace figlanding;
 
 namespace {
 
 const auto start = TimePoint{} + seconds(100);
+const auto other = VmId("other");
 
 auto stated(double limit) -> ServerTerms
 {
@@ -77,13 +81,13 @@
 TEST_CASE("a limit of another VM's report holds until it is not reported any more")
 {
     auto limit = StatedLimit();
-    limit.onReport(4.0, start);
+    limit.onReport(other, {.requestsPerSecond = 4.0}, start);
     CHECK(limit.requestsPerSecond(start + seconds(2)) == 4.0);
-    CHECK_FALSE(limit.isRecent(start)); // it is not passed on further
+    CHECK_FALSE(limit.report(start)); // it is not passed on further
     CHECK_FALSE(limit.requestsPerSecond(start + seconds(4)));
     CHECK(limit.accepts(1.0, start + seconds(4)));
     limit.onTerms(stated(2.0), start + seconds(5), start + seconds(5));
-    limit.onReport(4.0, start + seconds(6));
+    limit.onReport(other, {.requestsPerSecond = 4.0}, start + seconds(6));
     CHECK(limit.requestsPerSecond(start + seconds(30)) == 2.0);
 }
 
@@ -94,3 +98,51 @@
     CHECK(requestsIn(limit, start, milliseconds(4000)) <= 1);
     CHECK(requestsIn(limit, start + seconds(4), milliseconds(4001)) >= 1);
 }
+
+TEST_CASE("VMs that allocate the slots of one server at the same time keep to its limit together")
+{
+    constexpr auto limit = 5.0;
+    constexpr auto vms = 4;
+    auto limits = std::vector<StatedLimit>(vms);
+    for (auto &own : limits) {
+        own.onTerms(stated(limit), start, start);
+    }
+    auto sent = 0;
+    for (auto time = milliseconds(0); time < seconds(4); time += milliseconds(10)) {
+        const auto now = start + time;
+        for (auto vm = 0; vm < vms; ++vm) {
+            auto &own = limits[static_cast<std::size_t>(vm)];
+            if (time % milliseconds(900) == milliseconds(0)) {
+                for (auto from = 0; from < vms; ++from) {
+                    if (from != vm) {
+                        const auto report = limits[static_cast<std::size_t>(from)].report(now);
+                        own.onReport(VmId(std::to_string(from)), report.value(), now);
+                    }
+                }
+            }
+            sent += requestsIn(own, now, milliseconds(1));
+            own.onTerms(stated(limit), now, now);
+        }
+    }
+    CHECK(sent <= 1.5 * limit * 4.0 + 5.0);
+    CHECK(sent >= limit * 4.0 * 0.8);
+}
+
+TEST_CASE("a VM uses the whole limit again soon after the others have stopped to send requests")
+{
+    auto limit = StatedLimit();
+    limit.onTerms(stated(10.0), start, start);
+    limit.onReport(other, {.requestsPerSecond = 10.0, .used = 5.0}, start);
+    CHECK(limit.pace(1.0, start) == 7.0);
+    CHECK(limit.pace(1.0, start + seconds(3)) == 10.0);
+}
+
+TEST_CASE("a VM that sends few requests to a server with a limit takes little from the others")
+{
+    auto limit = StatedLimit();
+    limit.onTerms(stated(10.0), start, start);
+    limit.onReport(other, {.requestsPerSecond = 10.0, .used = 0.5}, start);
+    CHECK(limit.pace(1.0, start) == 10.0);
+    limit.onReport(other, {.requestsPerSecond = 10.0, .used = 10.0}, start); // if both need it
+    CHECK(limit.pace(1.0, start) == 6.0);
+}
--- a/tests/unit/slot_broker_test.cpp
+++ b/tests/unit/slot_broker_test.cpp
@@ -360,7 +360,7 @@
     REQUIRE(reports.size() == 1);
     auto after = SlotBroker({}, 2);
     after.setServers(service, {server("s1", 6)});
-    after.onLimitReport(reports.front(), start);
+    after.onLimitReport(VmId("before"), reports.front(), start);
     for (std::uint64_t number = 2; number < 8; ++number) {
         after.acquire(request(number, start), start);
     }
