Send nothing more to a server that says that it is leaving

New rule DRAIN (by what a server says of itself). A server that leaves says so in all its responses. No program read it, so while the store was away, or its record late, a VM sent requests on to a server that had told it to its face.

The VM's registry then counts the server as draining, for good as far as this incarnation goes, just as if the store had said so; the ways of draining stay the only ones (no new grants, keys move, requests in flight end). It applies on the VM that got the response; the others follow by the store or by their own responses.

--- a/include/figlanding/gateway/server_registry.h
+++ b/include/figlanding/gateway/server_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/gateway/key_ownership.h"
 #include "figlanding/names.h"
 #include "figlanding/objects.h"
 
@@ -47,6 +48,10 @@
     /// Processes an announcement. Announcements of an older incarnation, or older ones of the same
     /// incarnation, are ignored.
     auto announce(const ServerEntry &entry, TimePoint now) -> void;
+    /// Records that a server said itself that it is leaving. It then counts as draining, whatever
+    /// the store says or cannot say.
+    /// @return whether that is news
+    auto onLeaving(const ServerIncarnation &server) -> bool;
     /// Schedules the removal of a server whose entry was deleted. An announcement before @p due
     /// cancels it: an entry that expired while the store was unavailable may reappear shortly
     /// after.
--- a/src/core/gateway/server_registry.cpp
+++ b/src/core/gateway/server_registry.cpp
@@ -29,6 +29,15 @@
     server.coldUntil = now + entry.coldRemaining;
 }
 
+auto ServerRegistry::onLeaving(const ServerIncarnation &server) -> bool
+{
+    const auto found = m_servers.find(server.server);
+    if (found == m_servers.end() || found->second.entry.startedUnixMs != server.startedUnixMs) {
+        return false;
+    }
+    return !std::exchange(found->second.entry.draining, true);
+}
+
 auto ServerRegistry::remove(const BackendServerId &id, TimePoint due) -> void
 {
     if (m_servers.contains(id)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -99,6 +99,7 @@
                .onKey = [this](const auto &service, auto key) { m_keyLoads.count(service, key); },
                .fleetSize = [this] { return static_cast<double>(m_view.members().size()) + 1.0; },
                .onStaleOwner = [this] { m_fleetFollower.readNow(); },
+               .onLeaving = [this](const auto &server) { m_storeView.onServerLeaving(server); },
                .onOtherService =
                    [this](const auto &record, const auto &server) {
                        m_slotLog.addOtherService(record, server);
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -48,6 +48,8 @@
     std::function<void(const ServiceId &, ShardKey)> onKey;
     std::function<double()> fleetSize; ///< number of VMs, at least 1
     std::function<void()> onStaleOwner; ///< a server rejected a key that it should own
+    /// Called when a server says in a response that it is leaving. May be empty.
+    std::function<void(const ServerIncarnation &)> onLeaving = {};
     /// Called if the granted server runs another service than the request's.
     std::function<void(const RequestRecord &, const ServerEntry &)> onOtherService;
     std::function<void(const RequestRecord &)> onEnd; ///< called once per completed request
@@ -299,6 +301,9 @@
                          .load = response.load,
                          .terms = response.terms},
                         now);
+        if (response.terms && response.terms->leaving && m_handlers.onLeaving) {
+            m_handlers.onLeaving(active.server);
+        }
         switch (response.kind) {
         case ResponseKind::Success:
             respond(number, std::move(outcome.response));
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -154,6 +154,15 @@
         return changed;
     }
 
+    /// Records that a server said itself that it is leaving.
+    auto onServerLeaving(const ServerIncarnation &server) -> void
+    {
+        if (m_registry.onLeaving(server)) {
+            m_serversChanged = true;
+            logEvent(LogLevel::Info, "server-leaving", {{"server", server.server.value()}});
+        }
+    }
+
     /// Applies a snapshot of the servers' topic. Servers without a record are removed.
     auto onServerSnapshot(const std::vector<KeyedRecord> &records) -> void
     {
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -491,3 +491,31 @@
     CHECK(served > 60); // the limit has ended
     deployment.runFor(milliseconds(2500));
 }
+
+TEST_CASE("a server that says that it is leaving gets no more requests while the store is down")
+{
+    auto deployment = Deployment(2);
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        REQUIRE(deployment.serves(vm, "/read/1"));
+    }
+    deployment.store().setFaults({.down = true});
+    auto &server = deployment.server(2);
+    server.options().leaving = true;
+    auto number = 0;
+    const auto send = [&] {
+        for (std::size_t vm = 0; vm < 2; ++vm) {
+            const auto id = std::string("l").append(std::to_string(number++));
+            deployment.start(vm, deployment.request("GET", "/read/1", id),
+                             [](const HttpOutcome &) {});
+        }
+        deployment.runFor(milliseconds(20));
+        return false;
+    };
+    deployment.eventually(send, milliseconds(1500));
+    const auto before = server.arrivals().size();
+    const auto otherBefore = deployment.server(3).arrivals().size();
+    deployment.eventually(send, milliseconds(1500));
+    CHECK(server.arrivals().size() == before);
+    CHECK(deployment.server(3).arrivals().size() > otherBefore);
+    deployment.runFor(milliseconds(500));
+}
--- a/tests/contract/platform_protocol_test.cpp
+++ b/tests/contract/platform_protocol_test.cpp
@@ -190,7 +190,7 @@
     CHECK(response.headers.find("retry-after") == "0.250");
 }
 
-TEST_CASE("a server's limit is read from its own responses only, and only if it is a number")
+TEST_CASE("a server's terms are read from its own responses only, a limit only if it is a number")
 {
     const auto termsOf = [](int status, HttpHeaders headers) {
         return HttpProtocol::readResponse({.status = status, .headers = std::move(headers)}, "id")
@@ -208,6 +208,9 @@
         CHECK(termsOf(200, limit(text)) == ServerTerms{});
     }
     CHECK(termsOf(200, {{"x-request-id", "id"}, {"x-upstream-signature", "d"}}) == ServerTerms{});
+    CHECK(termsOf(503, {{"x-not-executed", "1"}, {"server-leaving", "1"}})
+          == ServerTerms{.leaving = true});
+    CHECK(termsOf(503, {{"x-not-executed", "1"}, {"server-leaving", "0"}}) == ServerTerms{});
     CHECK_FALSE(termsOf(421, {{"x-not-executed", "1"}, {"server-limit", "3"}}));
     CHECK_FALSE(termsOf(200, {{"x-request-id", "other"}, {"server-limit", "3"}}));
 }
--- a/tests/standins/platform_server.cpp
+++ b/tests/standins/platform_server.cpp
@@ -118,6 +118,9 @@
 
 auto PlatformServer::addTerms(HttpResponse &response) const -> void
 {
+    if (m_options.leaving) {
+        response.headers.set("server-leaving", "1");
+    }
     if (!m_options.limit.empty()) {
         response.headers.set("server-limit", m_options.limit);
     }
