Send no request to a server for the time that it asked this VM to wait

A server that turns a request away with 503 may add how long it wants nothing from that VM. No program read it: such a server got the next request after the 60 ms that follow any decline.

Change: the pause is decoded with the other terms of a response. It binds the VM that got it, so it is kept there (ServerPauses) and needs no agreement: the VM names paused servers as excluded when it asks for a slot, gives a grant at one back, and refuses a request whose key a paused server owns at once as not run, since another VM may send it. Weighed: a pause by VM in the broker of the server's slots; it would be lost when another VM takes the servers over, and the check at the sender would still be needed.

The new case of contract.gateway_test failed before: 18 requests of a keyed service and 34 of another one reached two pausing servers in 1.2 s, 2 allowed.

--- a/include/figlanding/gateway/server_terms.h
+++ b/include/figlanding/gateway/server_terms.h
@@ -17,6 +17,7 @@
 {
     /// Requests per second that it accepts from all VMs together; empty: no limit.
     std::optional<double> requestsPerSecond = std::nullopt;
+    std::optional<milliseconds> pause = std::nullopt; ///< it wants no request of this VM so long
     bool leaving = false; ///< it shuts down soon; final for its incarnation
 
     auto operator==(const ServerTerms &) const -> bool = default;
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/gateway/caller_protocol.h"
+#include "figlanding/gateway/server_pauses.h"
 #include "figlanding/gateway/server_registry.h"
 #include "gateway/active_request.h"
 #include "gateway/request_admission.h"
@@ -119,6 +120,7 @@
     /// Ends requests whose deadline has passed and dispatches those whose delay has ended.
     auto tick(TimePoint now) -> void
     {
+        m_pauses.expire(now);
         auto due = std::vector<std::uint64_t>{};
         for (const auto &[number, active] : m_requests) {
             if (now >= active.deadline || isTooLong(active)
@@ -194,15 +196,23 @@
                 return;
             }
             active.record.server = owner.server;
+            if (m_pauses.isPaused(owner, now)) {
+                refuse(number, refusalAfterFailure(active.verdict)); // another VM may send it
+                return;
+            }
             if (active.attempts == 0) {
                 m_handlers.onKey(active.service, *active.caller.key);
             }
         }
+        auto excluded = active.excluded;
+        for (auto &server : m_pauses.pausedServers(active.service, now)) {
+            excluded.push_back(std::move(server));
+        }
         active.stage = Stage::AwaitingSlot;
         m_slots.acquire({.id = {.vm = {}, .number = number},
                          .service = active.service,
                          .owner = owner.server,
-                         .excluded = active.excluded,
+                         .excluded = std::move(excluded),
                          .priority = active.priority,
                          .arrivedAt = active.receivedAt,
                          .objectiveAt = active.objectiveAt,
@@ -238,6 +248,13 @@
             dispatchLater(active, now);
             return;
         }
+        if (m_pauses.isPaused(incarnation, now)) {
+            // The server asked for the pause while the request waited for its slot.
+            m_slots.release(number, {.end = SlotEnd::Abandoned}, now);
+            active.stage = Stage::Idle;
+            active.dispatchAt = now;
+            return;
+        }
         if (keyHasMoved(active, incarnation.server)) {
             m_slots.release(number, {.end = SlotEnd::Abandoned}, now);
             active.stage = Stage::Idle;
@@ -301,8 +318,8 @@
                          .load = response.load,
                          .terms = response.terms},
                         now);
-        if (response.terms && response.terms->leaving && m_handlers.onLeaving) {
-            m_handlers.onLeaving(active.server);
+        if (response.terms) {
+            applyTerms(active, *response.terms, now);
         }
         switch (response.kind) {
         case ResponseKind::Success:
@@ -326,6 +343,17 @@
         }
     }
 
+    // Takes over the terms that bind this VM; the limit goes to the VM that allocates the slots.
+    auto applyTerms(const ActiveRequest &active, const ServerTerms &terms, TimePoint now) -> void
+    {
+        if (terms.pause) {
+            m_pauses.add(active.server, active.service, now + *terms.pause);
+        }
+        if (terms.leaving && m_handlers.onLeaving) {
+            m_handlers.onLeaving(active.server);
+        }
+    }
+
     // Retries a server error if the request is idempotent; otherwise returns it to the caller.
     auto onServerFailure(std::uint64_t number, HttpResponse response) -> void
     {
@@ -470,6 +498,7 @@
     RequestPathHandlers m_handlers;
     RequestAdmission m_admission;
     RequestRetries m_retries;
+    ServerPauses m_pauses;
     std::map<std::uint64_t, ActiveRequest> m_requests;
     std::uint64_t m_nextNumber = 1;
     TimePoint m_stopAt = TimePoint::max();
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -519,3 +519,42 @@
     CHECK(deployment.server(3).arrivals().size() > otherBefore);
     deployment.runFor(milliseconds(500));
 }
+
+TEST_CASE("a server that turns a request away for a time gets none from that VM until it is over")
+{
+    constexpr auto keyedServers = std::size_t{0};
+    constexpr auto openServers = std::size_t{2};
+    for (const auto first : {keyedServers, openServers}) {
+        const auto *target = first == keyedServers ? "/keyed/1" : "/read/1";
+        CAPTURE(target);
+        auto deployment = Deployment(1);
+        REQUIRE(deployment.serves(0, target));
+        for (const auto index : {first, first + 1}) {
+            deployment.server(index).options().sheds = true;
+            deployment.server(index).options().retryAfter = "2.0";
+        }
+        const auto arrivals = [&] {
+            return deployment.server(first).arrivals().size()
+                + deployment.server(first + 1).arrivals().size();
+        };
+        auto number = 0;
+        auto longest = Duration::zero();
+        const auto send = [&] {
+            auto request = deployment.request("GET", target, std::to_string(number++));
+            const auto outcome = deployment.send(0, std::move(request));
+            CHECK(outcome.response.status == 503);
+            longest = std::max(longest, outcome.elapsed);
+            return false;
+        };
+        deployment.eventually(send, milliseconds(500));
+        const auto before = arrivals();
+        CHECK(before >= 1);
+        deployment.eventually(send, milliseconds(1200));
+        CHECK(arrivals() - before <= 2);
+        CHECK(longest < milliseconds(500)); // refused at once: another VM may send the request
+        for (const auto index : {first, first + 1}) {
+            deployment.server(index).options().sheds = false;
+        }
+        CHECK(deployment.serves(0, target));
+    }
+}
--- a/tests/contract/platform_protocol_test.cpp
+++ b/tests/contract/platform_protocol_test.cpp
@@ -208,6 +208,10 @@
         CHECK(termsOf(200, limit(text)) == ServerTerms{});
     }
     CHECK(termsOf(200, {{"x-request-id", "id"}, {"x-upstream-signature", "d"}}) == ServerTerms{});
+    CHECK(termsOf(503, {{"x-not-executed", "1"}, {"retry-after", "1.5"}})
+          == ServerTerms{.pause = milliseconds(1500)});
+    CHECK(termsOf(503, {{"x-not-executed", "1"}, {"retry-after", "soon"}}) == ServerTerms{});
+    CHECK(termsOf(429, {{"x-not-executed", "1"}, {"retry-after", "1.5"}}) == ServerTerms{});
     CHECK(termsOf(503, {{"x-not-executed", "1"}, {"server-leaving", "1"}})
           == ServerTerms{.leaving = true});
     CHECK(termsOf(503, {{"x-not-executed", "1"}, {"server-leaving", "0"}}) == ServerTerms{});
--- a/tests/standins/platform_server.cpp
+++ b/tests/standins/platform_server.cpp
@@ -144,6 +144,9 @@
     if (m_options.sheds) {
         auto rejection = HttpResponse{.status = unavailable, .headers = {{"x-not-executed", "1"}}};
         addTerms(rejection);
+        if (!m_options.retryAfter.empty()) {
+            rejection.headers.set("retry-after", m_options.retryAfter);
+        }
         exchange.respond(std::move(rejection));
         return;
     }
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -24,6 +24,7 @@
     bool sheds = false; ///< responds with 503 without running the request
     bool fails = false; ///< runs the request and responds with 500
     bool returnsWrongRequestId = false; ///< responds with the id of another request
+    std::string retryAfter; ///< seconds, in the responses with which it sheds; empty: none
     bool leaving = false; ///< says in its responses that it is leaving
     std::string limit; ///< requests per second that it states in its responses; empty: none
 };
