Split the slot broker into its types, its queue and what it knows of servers

slot_broker.h held the types of requests, decisions and results, which the protocol and the fleet messages need without the broker; they are in slot_types.h. slot_broker_servers.cpp has what is known of servers (losses, service times, cold phases, limits), slot_broker.cpp tickets, queue and grants. No change of behaviour: functions were moved as they were.

--- a/include/figlanding/gateway/caller_protocol.h
+++ b/include/figlanding/gateway/caller_protocol.h
@@ -3,7 +3,7 @@
 #include "figlanding/clock.h"
 #include "figlanding/gateway/key_ownership.h"
 #include "figlanding/gateway/server_terms.h"
-#include "figlanding/gateway/slot_broker.h"
+#include "figlanding/gateway/slot_types.h"
 #include "figlanding/http_message.h"
 #include "figlanding/refusal.h"
 
--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -2,7 +2,7 @@
 
 #include "figlanding/error.h"
 #include "figlanding/gateway/key_ownership.h"
-#include "figlanding/gateway/slot_broker.h"
+#include "figlanding/gateway/slot_types.h"
 #include "figlanding/gateway/store.h"
 #include "figlanding/gateway/team_limits.h"
 
