--- a/include/figlanding/retry_policy.h
+++ b/include/figlanding/retry_policy.h
@@ -24,6 +24,8 @@
     /// @param ratio extra attempts gained per request
     /// @param capacity most extra attempts that accumulate; a new budget starts full
     RetryBudget(double ratio, double capacity);
+    /// @param available extra attempts that a new budget starts with, at most @p capacity
+    RetryBudget(double ratio, double capacity, double available);
 
     /// Credits the budget for a request's first attempt.
     void onRequest();
--- a/src/core/retry_policy.cpp
+++ b/src/core/retry_policy.cpp
@@ -17,9 +17,13 @@
 } // namespace
 
 RetryBudget::RetryBudget(double ratio, double capacity)
+    : RetryBudget(ratio, capacity, capacity)
+{ }
+
+RetryBudget::RetryBudget(double ratio, double capacity, double available)
     : m_ratio(ratio)
     , m_capacity(capacity)
-    , m_available(capacity)
+    , m_available(std::min(available, capacity))
 { }
 
 void RetryBudget::onRequest()
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -354,14 +354,16 @@
         }
     }
 
-    // Retries a server error if the request is idempotent; otherwise returns it to the caller.
+    // Retries a server error if the request is idempotent and the retry budget allows it; otherwise
+    // returns it to the caller.
     auto onServerFailure(std::uint64_t number, HttpResponse response) -> void
     {
         auto &active = m_requests.at(number);
         active.verdict = Verdict::Ran;
         constexpr auto firstServerError = 500;
         if (response.status >= firstServerError
-            && m_retries.isRetryable(active, Verdict::Ran, m_loop.now())) {
+            && m_retries.isRetryable(active, Verdict::Ran, m_loop.now())
+            && m_retries.take(active.service)) {
             retry(active);
             return;
         }
--- a/src/gateway/request_retries.cpp
+++ b/src/gateway/request_retries.cpp
@@ -2,6 +2,12 @@
 
 namespace figlanding {
 
+namespace {
+
+constexpr double retriesAtStart = 1.0; ///< so that the first failures of a process are retried
+
+} // namespace
+
 RequestRetries::RequestRetries(const RequestRetriesOptions &options)
     : m_options(options)
 { }
@@ -9,7 +15,8 @@
 auto RequestRetries::onRequest(const ServiceId &service, double fleetSize) -> void
 {
     const auto reserve = m_options.reserve / fleetSize;
-    m_budgets.try_emplace(service, m_options.ratio, reserve).first->second.onRequest();
+    m_budgets.try_emplace(service, m_options.ratio, reserve, retriesAtStart)
+        .first->second.onRequest();
 }
 
 auto RequestRetries::isRetryable(const ActiveRequest &active, Verdict verdict, TimePoint now) const
--- a/src/gateway/request_retries.h
+++ b/src/gateway/request_retries.h
@@ -23,6 +23,10 @@
 };
 
 /// The retry budgets of this VM, one for each service.
+///
+/// A budget starts with a single retry. An earlier process of this VM may just have spent the VM's
+/// part of the reserve, and a process that has just started does not know among how many VMs to
+/// divide it.
 class RequestRetries
 {
 public:
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -304,6 +304,24 @@
     CHECK(served >= 9);
 }
 
+TEST_CASE("server errors are retried within the retry budget, not once for each request")
+{
+    auto deployment = Deployment(1);
+    REQUIRE(deployment.serves(0, "/read/1"));
+    deployment.server(2).options().fails = true;
+    deployment.server(3).options().fails = true;
+    constexpr auto total = 40;
+    for (auto i = 0; i < total; ++i) {
+        const auto id = std::string("f").append(std::to_string(i));
+        CHECK(deployment.send(0, deployment.request("GET", "/read/1", id)).response.status == 500);
+    }
+    const auto runs =
+        deployment.server(2).arrivals().size() + deployment.server(3).arrivals().size();
+    constexpr auto retries = 12; // a fifth of the requests and what earlier ones left
+    CHECK(runs >= total);
+    CHECK(runs <= total + retries);
+}
+
 TEST_CASE("concurrent requests of all VMs never exceed the slots of a server")
 {
     auto deployment = Deployment(3);
