Keep what is known of leases when another VM's record precedes an append

Cause: a table is appended on the condition that the topic ends where the controller read it. VMs append their addresses to the same topic when they start. After such a conflict the controller still held the claim, but forgot all it knew of its ranges: every lease counted anew from that moment, every range was due for a grant at once, and unreachable servers were called again. While VMs start and stop, the leases of lost servers thus hardly end.

Change: after a conflict the view shows whether the own record took effect, by its fence. If it did, its owners are taken over as after any append; if not, the record is made again. Nothing else is forgotten: only the holder of the claim changes owners.

--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -262,6 +262,7 @@
     auto rebuildServices(TimePoint now) -> void;
     [[nodiscard]] static auto expectedEndOf(const Append &append) -> LogOffset;
     auto resolveConflict(TimePoint now) -> void;
+    auto applyRecord(const AppendTable &record, TimePoint now) -> void;
     [[nodiscard]] auto holdsClaim() const -> bool;
     [[nodiscard]] auto nextFence() -> FencingToken;
     auto beginTerm(TimePoint now) -> void;
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -5,6 +5,17 @@
 
 namespace figlanding {
 
+namespace {
+
+// Returns whether a record with this fence is part of a table. No two records have the same fence.
+auto hasFence(const OwnershipTable &table, FencingToken fence) -> bool
+{
+    return std::any_of(table.ranges.begin(), table.ranges.end(),
+                       [&](const OwnedRange &range) { return range.fence == fence; });
+}
+
+} // namespace
+
 auto withMaxLease(KeyControllerOptions options, milliseconds longest) -> KeyControllerOptions
 {
     if (longest < options.lease) {
@@ -118,15 +129,22 @@
         return;
     }
     m_awaitsView = false;
-    m_append.reset();
+    const auto append = *std::exchange(m_append, std::nullopt);
     if (!holdsClaim()) {
         return;
     }
     if (!m_active) {
         m_hadPreviousController = true; // the claim may have replaced that of another VM
         beginTerm(now);
+        rebuildServices(now);
+        return;
+    }
+    // Only the holder of the claim changes owners. Other records, such as the address of a VM that
+    // has started, leave what is known of the leases as it was.
+    const auto *record = std::get_if<AppendTable>(&append);
+    if (record != nullptr && hasFence(m_view.tables[record->service], record->fence)) {
+        applyRecord(*record, now);
     }
-    rebuildServices(now);
 }
 
 auto KeyController::rebuildServices(TimePoint now) -> void
@@ -173,7 +191,12 @@
         rebuildServices(now);
         return;
     }
-    const auto &record = std::get<AppendTable>(appended);
+    applyRecord(std::get<AppendTable>(appended), now);
+}
+
+// Takes over the owners of a record of this VM that took effect.
+auto KeyController::applyRecord(const AppendTable &record, TimePoint now) -> void
+{
     m_view.tables[record.service] = record.table;
     auto &service = m_services[record.service];
     service.hadOwners = true;
--- a/tests/unit/key_controller_test.cpp
+++ b/tests/unit/key_controller_test.cpp
@@ -114,6 +114,19 @@
     CHECK(outcome.ownedAgainAfter < longestLeaseTime);
 }
 
+TEST_CASE("records of other VMs do not delay the keys of dozens of servers that fell silent")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto options = dozensOfSilentServers;
+        options.seed = seed;
+        options.faults.otherRecords = 15.0;
+        const auto outcome = runKeySimulation(options);
+        CAPTURE(seed);
+        CHECK(outcome.violation == "");
+        CHECK(outcome.ownedAgainAfter < longestLeaseTime);
+    }
+}
+
 TEST_CASE("a controller without store contact grants nothing to a server that may have restarted")
 {
     // The seed leads to this sequence: a successor moves keys away from a server, which then
