Count leases from when earlier controllers are known to have stopped

Cause: a new controller does not know the renewals of the one before it. It assumed that this one renews for its whole time without contact to the store (6 s), and counted each lease from there: 13 s from its claim, also when the former controller had long read the claim or its process had ended. The next change began the wait anew.

Change: a heartbeat tells how far its VM has read the ownership topic, and now also how long its process has run. A process that has read beyond the claim is either the former controller, which then has stopped, or a later process of its VM, so that the former one ended before it started. A claim lists the earlier holders that may still renew when it is made, as a controller that just started cannot know them. Without a proof the 6 s stay; claims of earlier releases list nothing and are treated the same.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -40,6 +40,7 @@
     std::map<ServiceId, std::size_t> groupCounts;
     /// Limits that servers stated to the sender, see SlotClient::statedLimits().
     std::vector<ServerLimit> serverLimits;
+    milliseconds uptime{}; ///< since the sender's process started; zero if it does not tell
 
     auto operator==(const Heartbeat &) const -> bool = default;
 };
--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -36,20 +36,43 @@
 /// - After an unanswered grant, the server may have restarted and lost its fences. The controller
 ///   sends another grant only if the store has confirmed since then that it is still elected.
 /// - A new controller does not know the renewals of earlier ones. It counts leases from the end
-///   of the period in which an earlier controller may still renew them.
+///   of the period in which an earlier controller may still renew them. The period ends as soon as
+///   the earlier controller's VM proves that it has read the new claim.
 
 namespace figlanding {
 
+/// A process that holds or held the claim.
+struct ControllerProcess
+{
+    VmId vm;
+    std::string incarnation;
+
+    auto operator==(const ControllerProcess &) const -> bool = default;
+};
+
 /// Identifies the controller that may change ownership, and its term.
 struct ControllerClaim
 {
     Term term = 0;
     VmId vm;
     std::string incarnation;
+    /// Earlier holders that may still have renewed leases when the claim was made. Empty for a
+    /// claim of a release that does not list them.
+    std::optional<std::vector<ControllerProcess>> earlier = std::nullopt;
 
     auto operator==(const ControllerClaim &) const -> bool = default;
 };
 
+/// What a heartbeat tells of the process that sent it.
+struct ProcessProgress
+{
+    ControllerProcess process;
+    milliseconds uptime{}; ///< since the process started, counted at the sender
+    LogOffset ownershipEnd = 0; ///< offset up to which it has read the ownership topic
+
+    auto operator==(const ProcessProgress &) const -> bool = default;
+};
+
 /// State of the ownership topic.
 struct OwnershipView
 {
@@ -193,6 +216,9 @@
     /// Records that this VM was suspended. The steady clock may have stopped, so the last store
     /// contact no longer counts.
     auto onSuspended() -> void;
+    /// Processes the progress of another VM's process. It may prove that an earlier controller does
+    /// not renew leases any more.
+    auto onProgress(const ProcessProgress &progress, TimePoint now) -> void;
     /// Sets whether the group in the store elects this VM as the controller.
     auto setElected(bool elected) -> void;
     /// Handles the outcome of an append.
@@ -208,6 +234,11 @@
     [[nodiscard]] auto tick(const ControllerInputs &inputs, TimePoint now)
         -> std::vector<ControllerAction>;
 
+    /// Returns the process that this controller runs in.
+    [[nodiscard]] auto process() const -> ControllerProcess
+    {
+        return {.vm = m_options.self, .incarnation = m_options.incarnation};
+    }
     /// Returns whether this VM acts as the holder of the claim.
     [[nodiscard]] auto active() const -> bool
     {
@@ -265,7 +296,10 @@
     auto applyRecord(const AppendTable &record, TimePoint now) -> void;
     [[nodiscard]] auto holdsClaim() const -> bool;
     [[nodiscard]] auto nextFence() -> FencingToken;
+    [[nodiscard]] auto earlierControllers(TimePoint now) const
+        -> std::optional<std::vector<ControllerProcess>>;
     auto beginTerm(TimePoint now) -> void;
+    [[nodiscard]] auto renewedByOthersUntil() const -> TimePoint;
     auto endTerm() -> void;
     auto updateAddresses(const ServerRegistry &registry) -> void;
     [[nodiscard]] auto addressOf(const ServerIncarnation &incarnation) const
@@ -313,9 +347,11 @@
     bool m_elected = false;
     bool m_active = false;
     TimePoint m_storeContactAt;
-    /// The previous controller may renew leases until then.
-    TimePoint m_previousControllerRenewsUntil;
-    bool m_hadPreviousController = false;
+    TimePoint m_claimSeenAt; ///< when the view showed the present claim for the first time
+    LogOffset m_claimOffset = 0; ///< of the claim of this VM
+    /// Earlier controllers and the time until which each may renew leases.
+    std::vector<std::pair<ControllerProcess, TimePoint>> m_earlierControllers;
+    TimePoint m_unlistedRenewUntil; ///< the same for controllers that no claim lists
     std::optional<Append> m_append; ///< in flight, or of unknown effect
     bool m_appendInFlight = false;
     TimePoint m_appendRetryAt; ///< after an outcome Unknown
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -60,7 +61,8 @@
             std::move(usageByTeam),
             message.capacity,
             std::move(groupCounts),
-            std::move(limits)};
+            std::move(limits),
+            message.uptime.count()};
 }
 
 auto toJson(const WorkReport &message) -> json
@@ -167,6 +169,11 @@
              .limit = {.requestsPerSecond = row.at(2).get<double>(),
                        .used = row.at(3).get<double>()}});
     }
+    constexpr auto uptimeField = std::size_t{7};
+    if (fields.size() > uptimeField) {
+        const auto uptime = fields.at(uptimeField).get<std::int64_t>();
+        message.uptime = milliseconds(std::max<std::int64_t>(0, uptime));
+    }
     return message;
 }
 
--- a/src/core/gateway/fleet_records.cpp
+++ b/src/core/gateway/fleet_records.cpp
@@ -32,8 +32,29 @@
 
 auto encode(const ControllerClaim &claim) -> EncodedRecord
 {
-    return {.key = std::string(claimKey),
-            .value = toBytes({claim.term, claim.vm.value(), claim.incarnation})};
+    auto fields = json{claim.term, claim.vm.value(), claim.incarnation};
+    if (claim.earlier) {
+        auto earlier = json::array();
+        for (const auto &process : *claim.earlier) {
+            earlier.push_back(json::array({process.vm.value(), process.incarnation}));
+        }
+        fields.push_back(std::move(earlier));
+    }
+    return {.key = std::string(claimKey), .value = toBytes(fields)};
+}
+
+// Releases that do not list earlier controllers omit them.
+auto earlierControllersOf(const json &claim) -> std::optional<std::vector<ControllerProcess>>
+{
+    if (claim.size() < 4) {
+        return std::nullopt;
+    }
+    auto result = std::vector<ControllerProcess>{};
+    for (const auto &row : claim.at(3)) {
+        result.push_back({.vm = VmId(row.at(0).get<std::string>()),
+                          .incarnation = row.at(1).get<std::string>()});
+    }
+    return result;
 }
 
 auto toRows(const std::vector<OwnedRange> &ranges) -> json
@@ -101,7 +122,8 @@
         if (record.key == claimKey) {
             return FleetRecord(ControllerClaim{.term = value.at(0).get<Term>(),
                                                .vm = VmId(value.at(1).get<std::string>()),
-                                               .incarnation = value.at(2).get<std::string>()});
+                                               .incarnation = value.at(2).get<std::string>(),
+                                               .earlier = earlierControllersOf(value)});
         }
         if (record.key.starts_with(tablePrefix)) {
             return decodeTable(ServiceId(record.key.substr(tablePrefix.size())), value);
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -1,6 +1,7 @@
 #include "figlanding/gateway/key_controller.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace figlanding {
@@ -93,6 +94,9 @@
     if (m_hasView && view.end < m_view.end) {
         return;
     }
+    if (!m_hasView || view.claim != m_view.claim) {
+        m_claimSeenAt = now;
+    }
     m_view = view;
     m_hasView = true;
     if (m_active && !holdsClaim()) {
@@ -104,11 +108,65 @@
     resolveConflict(now);
 }
 
+// Returns the controllers that may still renew leases when this VM claims ownership; nothing if the
+// present claim does not tell. Those before the present claim have stopped once it is old enough.
+auto KeyController::earlierControllers(TimePoint now) const
+    -> std::optional<std::vector<ControllerProcess>>
+{
+    const auto &claim = m_view.claim;
+    auto result = std::vector<ControllerProcess>{};
+    if (claim.term == 0) {
+        return m_view.tables.empty() ? std::optional(result) : std::nullopt;
+    }
+    result.push_back({.vm = claim.vm, .incarnation = claim.incarnation});
+    if (now - m_claimSeenAt >= m_options.controllerLease) {
+        return result;
+    }
+    if (!claim.earlier) {
+        return std::nullopt;
+    }
+    // An earlier process of a VM that has claimed again has ended.
+    std::copy_if(claim.earlier->begin(), claim.earlier->end(), std::back_inserter(result),
+                 [&](const ControllerProcess &process) { return process.vm != claim.vm; });
+    return result;
+}
+
 auto KeyController::beginTerm(TimePoint now) -> void
 {
     m_active = true;
     m_fenceCount = 0;
-    m_previousControllerRenewsUntil = now + m_options.controllerLease;
+    m_earlierControllers.clear();
+    const auto renewsUntil = now + m_options.controllerLease;
+    m_unlistedRenewUntil = m_view.claim.earlier ? TimePoint{} : renewsUntil;
+    for (const auto &process : m_view.claim.earlier.value_or(std::vector<ControllerProcess>{})) {
+        // Two processes of a VM never run at the same time.
+        const auto hasEnded = process.vm == m_options.self;
+        m_earlierControllers.emplace_back(process, hasEnded ? now : renewsUntil);
+    }
+}
+
+auto KeyController::renewedByOthersUntil() const -> TimePoint
+{
+    auto result = m_unlistedRenewUntil;
+    for (const auto &[process, until] : m_earlierControllers) {
+        result = std::max(result, until);
+    }
+    return result;
+}
+
+// A process that has read this VM's claim is either the earlier controller, which then stops, or a
+// later process of its VM: the earlier controller claimed before, and did not run beside it.
+auto KeyController::onProgress(const ProcessProgress &progress, TimePoint now) -> void
+{
+    if (!m_active || progress.ownershipEnd <= m_claimOffset) {
+        return;
+    }
+    for (auto &[process, until] : m_earlierControllers) {
+        if (process.vm == progress.process.vm) {
+            const auto same = process.incarnation == progress.process.incarnation;
+            until = std::min<TimePoint>(until, same ? now : now - progress.uptime);
+        }
+    }
 }
 
 auto KeyController::endTerm() -> void
@@ -134,7 +192,7 @@
         return;
     }
     if (!m_active) {
-        m_hadPreviousController = true; // the claim may have replaced that of another VM
+        m_claimOffset = expectedEndOf(append);
         beginTerm(now);
         rebuildServices(now);
         return;
@@ -160,8 +218,7 @@
             service.ranges.push_back({.owned = owned,
                                       .phase = free ? Phase::Free : Phase::Held,
                                       .grantMayArriveLate = !free,
-                                      .sentAt = now,
-                                      .arrivedBy = now});
+                                      .sentAt = now});
         }
     }
 }
@@ -185,7 +242,7 @@
     const auto appended = *std::exchange(m_append, std::nullopt);
     m_view.end = std::max(m_view.end, expectedEnd + 1);
     if (const auto *claim = std::get_if<AppendClaim>(&appended)) {
-        m_hadPreviousController = m_view.claim.term > 0;
+        m_claimOffset = expectedEnd;
         m_view.claim = claim->claim;
         beginTerm(now);
         rebuildServices(now);
@@ -341,7 +398,8 @@
             m_append = AppendClaim{.expectedEnd = m_view.end,
                                    .claim = {.term = m_view.claim.term + 1,
                                              .vm = m_options.self,
-                                             .incarnation = m_options.incarnation}};
+                                             .incarnation = m_options.incarnation,
+                                             .earlier = earlierControllers(now)}};
             m_appendInFlight = true;
             actions.emplace_back(std::get<AppendClaim>(*m_append));
         }
--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -30,12 +30,8 @@
 
 auto KeyController::leaseEnd(const Range &range) const -> TimePoint
 {
-    auto lastArrival = range.arrivedBy;
-    if (m_hadPreviousController) {
-        lastArrival =
-            std::max(lastArrival, m_previousControllerRenewsUntil + m_options.callTimeout);
-    }
-    return lastArrival + leaseWithDrift();
+    const auto byOthers = renewedByOthersUntil() + m_options.callTimeout;
+    return std::max(range.arrivedBy, byOthers) + leaseWithDrift();
 }
 
 auto KeyController::ownerExited(const Range &range, const ControllerInputs &inputs) -> bool
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -333,6 +333,7 @@
             }
             m_slots.onLimitReports(message.from, heartbeat->serverLimits, now);
             m_limits.report(message.from, message.incarnation, heartbeat->usageByTeam, now);
+            reportProgress(message, *heartbeat);
             for (auto *follower : followers()) {
                 const auto end = heartbeat->topicEnds.find(follower->topic());
                 if (end != heartbeat->topicEnds.end()) {
@@ -356,6 +357,18 @@
         m_slots.onMessage(message, now);
     }
 
+    // Tells the key controller how far another VM has read the ownership topic.
+    auto reportProgress(const FleetMessage &message, const Heartbeat &heartbeat) -> void
+    {
+        const auto end = heartbeat.topicEnds.find(m_fleetFollower.topic());
+        if (end != heartbeat.topicEnds.end()) {
+            m_controllerRunner.onProgress(
+                {.process = {.vm = message.from, .incarnation = message.incarnation},
+                 .uptime = heartbeat.uptime,
+                 .ownershipEnd = end->second});
+        }
+    }
+
     [[nodiscard]] auto followers() -> std::array<Follower *, 3>
     {
         return {&m_operatorFollower, &m_serverFollower, &m_fleetFollower};
@@ -372,12 +385,14 @@
     auto sendHeartbeat() -> void
     {
         const auto now = m_loop.now();
-        m_link->sendToAll(Heartbeat{.leaving = m_leaving,
-                                    .capacity = m_settings.cpuShare,
-                                    .topicEnds = topicEnds(),
-                                    .usageByTeam = m_limits.takeUsage(now),
-                                    .groupCounts = m_slots.groupCounts(),
-                                    .serverLimits = m_slots.statedLimits(now)});
+        m_link->sendToAll(
+            Heartbeat{.leaving = m_leaving,
+                      .capacity = m_settings.cpuShare,
+                      .topicEnds = topicEnds(),
+                      .usageByTeam = m_limits.takeUsage(now),
+                      .groupCounts = m_slots.groupCounts(),
+                      .serverLimits = m_slots.statedLimits(now),
+                      .uptime = std::chrono::duration_cast<milliseconds>(now - m_startedAt)});
         if (!m_announced && now >= m_announceAt) {
             m_announceAt = now + milliseconds(1500);
             announceSelf();
--- a/src/gateway/key_controller_runner.h
+++ b/src/gateway/key_controller_runner.h
@@ -92,6 +92,10 @@
     {
         m_controller.onStoreContact(sentAt);
     }
+    auto onProgress(const ProcessProgress &progress) -> void
+    {
+        m_controller.onProgress(progress, m_loop.now());
+    }
     auto onSuspended() -> void
     {
         m_controller.onSuspended();
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -150,7 +150,8 @@
         .usageByTeam = {{TeamId("band"), {.admitted = 3, .demand = 2.5, .admittedRate = 1.5}}},
         .groupCounts = {{ServiceId("s"), 7}},
         .serverLimits = {{.server = {BackendServerId("s"), 7},
-                          .limit = {.requestsPerSecond = 5.5, .used = 1.5}}}};
+                          .limit = {.requestsPerSecond = 5.5, .used = 1.5}}},
+        .uptime = milliseconds(7100)};
     CHECK(roundTrip(heartbeat).payload == FleetPayload(heartbeat));
     const auto acquire = SlotAcquire{.ticket = 9,
                                      .service = ServiceId("s#0"),
@@ -227,7 +228,9 @@
     const auto member =
         MemberRecord{.vm = VmId("vm"), .incarnation = "i", .address = {"10.0.0.1", 7}};
     CHECK(decode(encodeFleetRecord(member)) == FleetRecord(member));
-    const auto claim = ControllerClaim{.term = 3, .vm = VmId("vm"), .incarnation = "i"};
+    auto claim = ControllerClaim{.term = 3, .vm = VmId("vm"), .incarnation = "i"};
+    CHECK(decode(encodeFleetRecord(claim)) == FleetRecord(claim));
+    claim.earlier = std::vector<ControllerProcess>{{.vm = VmId("other"), .incarnation = "j"}};
     CHECK(decode(encodeFleetRecord(claim)) == FleetRecord(claim));
     auto broken = table;
     broken.table.ranges[1].keys.from = 101;
--- a/tests/unit/key_controller_test.cpp
+++ b/tests/unit/key_controller_test.cpp
@@ -17,7 +17,8 @@
                                            .crashes = true,
                                            .unreachableServers = true,
                                            .leaderChanges = true,
-                                           .storePartitions = true};
+                                           .storePartitions = true,
+                                           .controllerRestarts = true};
 
 const auto dozensOfSilentServers = KeySimulationOptions{.servers = 48,
                                                         .loss = {.servers = 30, .at = seconds(10)},
@@ -127,6 +128,42 @@
     }
 }
 
+TEST_CASE("a new controller waits for the former one's renewals until that one has read its claim")
+{
+    auto options = dozensOfSilentServers;
+    options.leaderChangesAt = {options.loss.at + seconds(1)};
+    // The former controller renews for a second after the loss and then reads the claim.
+    constexpr auto untilRead = milliseconds(1900);
+    const auto outcome = runKeySimulation(options);
+    CHECK(outcome.violation == "");
+    CHECK(outcome.ownedAgainAfter < longestLeaseTime + untilRead);
+    // One that cannot read it may renew for as long as it acts without contact to the store.
+    options.formerLeaderLosesStore = true;
+    const auto unread = runKeySimulation(options);
+    CHECK(unread.violation == "");
+    CHECK(unread.ownedAgainAfter > KeyControllerOptions{}.controllerLease + seconds(7));
+}
+
+TEST_CASE("controllers that all start anew count leases from the end of the processes before them")
+{
+    auto options = dozensOfSilentServers;
+    options.restartsAt = {options.loss.at + seconds(1)};
+    options.leaderChangesAt = {options.loss.at + seconds(2)};
+    const auto outcome = runKeySimulation(options);
+    CHECK(outcome.violation == "");
+    CHECK(outcome.ownedAgainAfter < longestLeaseTime + milliseconds(1900));
+}
+
+TEST_CASE("keys have one owner while processes of controllers end and others start")
+{
+    checkSoleAndCompleteOwnership({.leaderChanges = true, .controllerRestarts = true});
+    checkSoleAndCompleteOwnership({.lateCommand = 0.2,
+                                   .unreachableServers = true,
+                                   .leaderChanges = true,
+                                   .storePartitions = true,
+                                   .controllerRestarts = true});
+}
+
 TEST_CASE("a controller without store contact grants nothing to a server that may have restarted")
 {
     // The seed leads to this sequence: a successor moves keys away from a server, which then
--- a/tests/unit/key_simulation.cpp
+++ b/tests/unit/key_simulation.cpp
@@ -46,17 +46,13 @@
                 {.incarnation = {.server = BackendServerId(name), .startedUnixMs = 1},
                  .address = {.ip = name, .port = 1}});
         }
+        m_controllers.resize(controllerCount);
+        m_startedAt.resize(controllerCount);
         for (auto i = 0; i < controllerCount; ++i) {
-            const auto name = std::string("vm").append(std::to_string(i));
-            auto settings = KeyControllerOptions{.self = VmId(name), .incarnation = "1"};
-            if (m_options.adjustOptions) {
-                m_options.adjustOptions(settings);
-            }
-            m_lease = settings.lease;
-            m_callTimeout = settings.callTimeout;
-            m_controllers.push_back(std::make_unique<KeyController>(settings));
+            startController(i);
         }
         m_partitionedUntil.resize(controllerCount);
+        m_readEnd.resize(controllerCount);
     }
 
     auto runToEnd() -> KeySimulationResult
@@ -74,6 +70,7 @@
             runDueEvents();
             runScheduledChanges();
             runControllers();
+            exchangeProgress();
             checkSoleOwnership();
             recordUnowned();
         }
@@ -90,6 +87,46 @@
         std::function<void()> run;
     };
 
+    // Starts a controller's process, and ends the one before. What that one has sent may still
+    // arrive.
+    auto startController(int index) -> void
+    {
+        const auto i = static_cast<std::size_t>(index);
+        auto settings =
+            KeyControllerOptions{.self = VmId(std::string("vm").append(std::to_string(index))),
+                                 .incarnation = std::to_string(++m_processes)};
+        if (m_options.adjustOptions) {
+            m_options.adjustOptions(settings);
+        }
+        m_lease = settings.lease;
+        m_callTimeout = settings.callTimeout;
+        if (m_controllers.at(i)) {
+            m_endedControllers.push_back(std::move(m_controllers.at(i)));
+        }
+        m_controllers.at(i) = std::make_unique<KeyController>(settings);
+        m_startedAt.at(i) = m_now;
+    }
+
+    // Delivers to each controller how far the others have read, with a delay.
+    auto exchangeProgress() -> void
+    {
+        constexpr auto interval = milliseconds(500);
+        if (m_now < m_progressAt) {
+            return;
+        }
+        m_progressAt = m_now + interval;
+        for (auto from = 0; from < controllerCount; ++from) {
+            const auto i = static_cast<std::size_t>(from);
+            const auto progress = ProcessProgress{
+                .process = m_controllers.at(i)->process(),
+                .uptime = std::chrono::duration_cast<milliseconds>(m_now - m_startedAt.at(i)),
+                .ownershipEnd = m_readEnd.at(i)};
+            schedule(randomDuration(1, 400), [this, from, progress] {
+                m_controllers.at(static_cast<std::size_t>(1 - from))->onProgress(progress, m_now);
+            });
+        }
+    }
+
     auto chance(double probability) -> bool
     {
         return !m_faultsEnded
@@ -125,6 +162,11 @@
         if (faults.leaderChanges && chance(perStep)) {
             m_leader = 1 - m_leader;
         }
+        for (auto i = 0; i < controllerCount; ++i) {
+            if (faults.controllerRestarts && chance(perStep)) {
+                startController(i);
+            }
+        }
         for (auto &partitionedUntil : m_partitionedUntil) {
             if (faults.storePartitions && chance(perStep)) {
                 partitionedUntil = m_now + randomDuration(500, 12'000);
@@ -158,7 +200,14 @@
         const auto before = m_now - step - m_start;
         const auto isDue = [&](Duration at) { return at > before && at <= m_now - m_start; };
         for (const auto at : m_options.leaderChangesAt) {
-            m_leader = isDue(at) ? 1 - m_leader : m_leader;
+            if (isDue(at)) {
+                electOther();
+            }
+        }
+        for (const auto at : m_options.restartsAt) {
+            for (auto i = 0; isDue(at) && i < controllerCount; ++i) {
+                startController(i);
+            }
         }
         if (m_options.loss.servers > 0 && isDue(m_options.loss.at)) {
             for (std::size_t i = 0; i < m_options.loss.servers; ++i) {
@@ -167,6 +216,14 @@
         }
     }
 
+    auto electOther() -> void
+    {
+        if (m_options.formerLeaderLosesStore) {
+            m_partitionedUntil.at(static_cast<std::size_t>(m_leader)) = TimePoint::max();
+        }
+        m_leader = 1 - m_leader;
+    }
+
     auto silence(SimulatedServer &server) -> void
     {
         constexpr auto timeToExpire = milliseconds(2600); // of its announcement
@@ -220,6 +277,7 @@
                 controller.setElected(i == m_leader);
                 controller.onStoreContact(m_now);
                 controller.onView(m_view, m_now);
+                m_readEnd.at(static_cast<std::size_t>(i)) = m_view.end;
             }
             const auto inputs = ControllerInputs{.registry = m_registry,
                                                  .keyedServices = {service},
@@ -487,6 +545,12 @@
     bool m_needsCheck = false; ///< a grant or a start happened since the last check
     std::vector<SimulatedServer> m_servers;
     std::vector<std::unique_ptr<KeyController>> m_controllers;
+    /// Ended processes; outcomes of what they have sent are still delivered to them.
+    std::vector<std::unique_ptr<KeyController>> m_endedControllers;
+    std::vector<TimePoint> m_startedAt;
+    std::vector<LogOffset> m_readEnd; ///< offset up to which each controller has read
+    TimePoint m_progressAt;
+    int m_processes = 0;
     std::vector<TimePoint> m_partitionedUntil;
     int m_leader = 0;
     milliseconds m_lease{};
--- a/tests/unit/key_simulation.h
+++ b/tests/unit/key_simulation.h
@@ -31,6 +31,7 @@
     bool leaderChanges = false; ///< another controller is elected from time to time
     bool storePartitions = false; ///< a controller cannot reach the store for some seconds
     double otherRecords = 0.0; ///< records per second that other VMs append to the topic
+    bool controllerRestarts = false; ///< a controller's process ends and another one starts
 };
 
 /// Servers that fall silent for good at the same time, without a closed port. They may still run,
@@ -61,6 +62,9 @@
     SilentLoss loss;
     /// Times since the start of the run at which the other controller is elected.
     std::vector<milliseconds> leaderChangesAt;
+    std::vector<milliseconds> restartsAt; ///< the same for restarts of all controllers
+    /// Whether a controller that is elected no more loses its contact to the store for good.
+    bool formerLeaderLosesStore = false;
     seconds faultDuration{40}; ///< first part of the run, with faults
     seconds recoveryDuration{30}; ///< second part of the run, without new faults
     /// Changes the settings of each controller, such as to make it incorrect on purpose.
