Ask a server that declines its requests less and less often

Cause: a decline paused the server for 60 ms, however many had come before, and every slot was then granted again. Two slots of a server that sheds are thus asked 30 times a second.

Change: the pause doubles with each further decline up to 960 ms, and ends with the first request that the server runs. Requests that were granted before a decline was known count with it once. A misdirected request (the server does not own the key yet, or another one has its address) says nothing of its load: it pauses as before, and has an end of its own. Releases that do not know it ignore it.

Evidence: a server that declines everything for 8 s gets at most 16 requests; with a constant pause of 60 ms the new test counts more and fails.

--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -89,6 +89,8 @@
         double slowness = 1.0;
         TimePoint loadReportedAt;
         TimePoint pausedUntil; ///< set when it declines a request
+        std::uint32_t declines = 0; ///< since it last ran a request, those sent together once
+        TimePoint declinedAt; ///< last time that counted
         TimePoint mayBeColdUntil; ///< it may have restarted without an announcement so far
         /// Losses by the zone of the VMs that saw them.
         std::map<AvailabilityZoneId, ZoneFailures> failuresByZone;
@@ -150,13 +152,14 @@
     auto recordLoss(Server &server, const AvailabilityZoneId &zone, bool reached, TimePoint now)
         -> void;
     auto recordResponse(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void;
+    auto recordDecline(Server &server, TimePoint grantedAt, TimePoint now) const -> void;
     [[nodiscard]] static auto isCold(const Server &server, const SlotRequest &request,
                                      TimePoint now) -> bool;
     [[nodiscard]] auto requestsPerMs(const Server &server, const SlotRequest &request,
                                      TimePoint now) const -> double;
     auto recordResult(Server &server, const ActiveGrant &granted, const SlotResult &result,
                       TimePoint now) -> void;
-    auto recordEnd(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
+    auto recordEnd(Server &server, const ActiveGrant &granted, const SlotResult &result,
                    TimePoint now) -> void;
     auto expireGrants(TimePoint now) -> void;
 
--- a/include/figlanding/gateway/slot_types.h
+++ b/include/figlanding/gateway/slot_types.h
@@ -101,11 +101,14 @@
 enum class SlotEnd {
     Served, ///< complete response
     Failed, ///< error response of the server
-    Declined, ///< the server reported that it did not run the request
+    Declined, ///< the server reported that it did not run the request because it is overloaded
     Lost, ///< sent, but the connection failed before a response; the server may be down
     Unreachable, ///< no connection could be established
     TimedOut, ///< no response within the request's remaining time
     Abandoned, ///< the caller disconnected, or the request was never sent
+    /// The server reported that it does not own the key or is not the one that was meant. VMs of
+    /// earlier releases report it as Declined, and ignore it otherwise.
+    Misdirected,
 };
 
 /// The load that a server reports about itself.
@@ -142,7 +145,10 @@
     milliseconds maxBackoff{3000}; ///< upper bound of the pause
     /// A timeout counts as a loss if it lasted longer than this multiple of the server's average.
     double timeoutLossFactor = 4.0;
-    milliseconds declineBackoff{60}; ///< pause after a server declined a request
+    /// Pause after a server declined a request; doubled with each further one until it runs one.
+    milliseconds declineBackoff{60};
+    milliseconds maxDeclineBackoff{960}; ///< upper bound of that pause
+    milliseconds misdirectedBackoff{60}; ///< pause after a misdirected request
     /// Fraction of a cold server's rate that is granted. The rest is headroom for requests that are
     /// delayed in transit and arrive together.
     double coldRateFraction = 0.65;
--- a/src/core/gateway/slot_broker_servers.cpp
+++ b/src/core/gateway/slot_broker_servers.cpp
@@ -69,16 +69,34 @@
     if (result.terms) {
         server.limit.onTerms(*result.terms, granted.grantedAt, now);
     }
-    recordEnd(server, granted.zone, result, now);
+    recordEnd(server, granted, result, now);
 }
 
-auto SlotBroker::recordEnd(Server &server, const AvailabilityZoneId &zone, const SlotResult &result,
+// Pauses a server that declined a request. Requests that were granted before it declined another
+// one tell nothing more than that one.
+auto SlotBroker::recordDecline(Server &server, TimePoint grantedAt, TimePoint now) const -> void
+{
+    constexpr auto maxDoublings = 10U;
+    if (server.declines > 0 && grantedAt <= server.declinedAt) {
+        return;
+    }
+    const auto factor = std::exp2(std::min(server.declines, maxDoublings));
+    const auto pause = std::min(toMilliseconds(m_options.declineBackoff) * factor,
+                                toMilliseconds(m_options.maxDeclineBackoff));
+    server.declines += 1;
+    server.declinedAt = now;
+    server.pausedUntil = std::max(server.pausedUntil, now + fromMilliseconds(pause));
+}
+
+auto SlotBroker::recordEnd(Server &server, const ActiveGrant &granted, const SlotResult &result,
                            TimePoint now) -> void
 {
+    const auto &zone = granted.zone;
     switch (result.end) {
     case SlotEnd::Served:
     case SlotEnd::Failed: {
         recordResponse(server, zone, now);
+        server.declines = 0;
         // Service time normalized to the server's usual speed.
         const auto sample = toMilliseconds(result.elapsed)
             / std::max(1.0, result.load ? result.load->slowness : 1.0);
@@ -91,7 +109,10 @@
         break;
     }
     case SlotEnd::Declined:
-        server.pausedUntil = std::max(server.pausedUntil, now + m_options.declineBackoff);
+        recordDecline(server, granted.grantedAt, now);
+        break;
+    case SlotEnd::Misdirected:
+        server.pausedUntil = std::max(server.pausedUntil, now + m_options.misdirectedBackoff);
         break;
     case SlotEnd::Lost:
         recordLoss(server, zone, true, now);
--- a/src/gateway/slot_end_of.cpp
+++ b/src/gateway/slot_end_of.cpp
@@ -18,9 +18,12 @@
     case ResponseKind::Failure:
     case ResponseKind::Foreign:
         return SlotEnd::Failed;
-    default:
+    case ResponseKind::WrongServer:
+        return SlotEnd::Misdirected;
+    case ResponseKind::NotRun:
         return SlotEnd::Declined;
     }
+    return SlotEnd::Failed;
 }
 
 } // namespace figlanding
--- a/tests/unit/slot_broker_test.cpp
+++ b/tests/unit/slot_broker_test.cpp
@@ -317,6 +317,55 @@
     CHECK(grantedTo(broker.takeDecisions(), 3) == "s1");
 }
 
+TEST_CASE("a server that declines every request gets fewer and fewer of them until it runs one")
+{
+    constexpr auto step = milliseconds(10);
+    auto broker = SlotBroker({}, 1);
+    broker.setServers(service, {server("s1", 2)});
+    auto declined = 0;
+    auto number = std::uint64_t{1};
+    const auto end = start + seconds(8);
+    for (auto now = start; now < end; now += step) {
+        broker.acquire(request(number, now), now);
+        for (const auto &decision : broker.takeDecisions()) {
+            if (std::holds_alternative<SlotGrant>(decision.outcome)) {
+                ++declined;
+                broker.release(decision.id, {.end = SlotEnd::Declined}, now);
+            }
+        }
+        broker.release({.vm = VmId("vm"), .number = number++}, {.end = SlotEnd::Abandoned}, now);
+    }
+    CHECK(declined >= 8); // it is asked again within a second
+    CHECK(declined <= 16);
+    const auto probedAt = end + seconds(1);
+    broker.acquire(request(number, probedAt), probedAt);
+    CHECK(grantedTo(broker.takeDecisions(), number) == "s1");
+    broker.release({.vm = VmId("vm"), .number = number}, served(milliseconds(50)), probedAt);
+    broker.acquire(request(++number, probedAt), probedAt);
+    broker.release({.vm = VmId("vm"), .number = number}, {.end = SlotEnd::Declined}, probedAt);
+    static_cast<void>(broker.takeDecisions());
+    const auto soon = probedAt + milliseconds(61);
+    broker.acquire(request(++number, soon), soon);
+    CHECK(grantedTo(broker.takeDecisions(), number) == "s1");
+}
+
+TEST_CASE("requests that a full server declines together pause it once")
+{
+    auto broker = SlotBroker({}, 1);
+    broker.setServers(service, {server("s1", 4)});
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        broker.acquire(request(number, start), start);
+    }
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        broker.release({.vm = VmId("vm"), .number = number}, {.end = SlotEnd::Declined},
+                       start + milliseconds(number));
+    }
+    static_cast<void>(broker.takeDecisions());
+    const auto later = start + milliseconds(70);
+    broker.acquire(request(9, later), later);
+    CHECK(grantedTo(broker.takeDecisions(), 9) == "s1");
+}
+
 TEST_CASE("a server that states a limit gets the requests of its limit, and the others are refused")
 {
     auto broker = SlotBroker({}, 1);
