Refuse a request at once when the owner of its key has left or is gone

And with the store away, requests for a key whose owner had said that it was leaving waited to their deadline.

Cause: the request path asked for a slot whatever the registry says of the owner. The allocating VM knows no such server and refuses; a VM that does not know that the server leaves grants the slot, the request path does not use it and asks again every 40 ms. A slot of a restarted owner was granted and used although it has no keys yet: the server turns the request away (421).

Change: ServerRegistry tells whether an owner is usable, not known yet, leaving, restarted or gone. Requests for keys of leaving and lost owners are refused as not run, with "key-is-moving", what is wrong, and the time until the key is expected to have another owner: what is left of the lease for an owner that is gone. A request for a key of a restarted owner waits up to half a second for the move.

--- a/include/figlanding/gateway/server_registry.h
+++ b/include/figlanding/gateway/server_registry.h
@@ -41,6 +41,15 @@
     auto operator==(const RegisteredServer &) const -> bool = default;
 };
 
+/// Whether the owner of a key can be sent requests for it.
+enum class OwnerState {
+    Usable,
+    Unknown, ///< its announcement has not been read yet
+    Leaving, ///< it is draining, or its zone is evacuated
+    Restarted, ///< it runs again, without the keys of its earlier incarnation
+    Gone, ///< it was removed
+};
+
 /// Holds the servers that announced themselves and were not removed.
 class ServerRegistry
 {
@@ -73,6 +82,10 @@
     {
         return m_servers;
     }
+    /// Returns whether the owner of a key can be sent requests for it.
+    [[nodiscard]] auto ownerState(const ServerIncarnation &owner) const -> OwnerState;
+    /// Returns when a server was removed; nothing if it never was, or is registered.
+    [[nodiscard]] auto goneSince(const BackendServerId &id) const -> std::optional<TimePoint>;
     /// Returns whether a server accepts new requests: it is not draining and its zone is not
     /// evacuated.
     [[nodiscard]] auto acceptsRequests(const RegisteredServer &server) const -> bool;
@@ -84,6 +97,7 @@
 private:
     std::map<BackendServerId, RegisteredServer> m_servers;
     std::map<BackendServerId, TimePoint> m_removals;
+    std::map<BackendServerId, TimePoint> m_goneSince; ///< removed lately
     std::set<AvailabilityZoneId> m_evacuated;
 };
 
--- a/src/core/gateway/server_registry.cpp
+++ b/src/core/gateway/server_registry.cpp
@@ -4,6 +4,12 @@
 
 namespace figlanding {
 
+namespace {
+
+constexpr seconds goneMemory{60}; ///< longer than any key stays without a new owner
+
+} // namespace
+
 auto ServerRegistry::announce(const ServerEntry &entry, TimePoint now) -> void
 {
     auto &server = m_servers[entry.id];
@@ -22,6 +28,7 @@
         return;
     }
     m_removals.erase(entry.id);
+    m_goneSince.erase(entry.id);
     const auto wasDraining = !newIncarnation && known.draining;
     server.entry = entry;
     server.entry.draining = entry.draining || wasDraining; // draining is final for an incarnation
@@ -52,9 +59,11 @@
         const auto due = item.second <= now;
         if (due) {
             m_servers.erase(item.first);
+            m_goneSince[item.first] = now;
         }
         return due;
     });
+    std::erase_if(m_goneSince, [&](const auto &item) { return now - item.second > goneMemory; });
     return m_servers.size() != before;
 }
 
@@ -69,6 +78,27 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
+auto ServerRegistry::ownerState(const ServerIncarnation &owner) const -> OwnerState
+{
+    const auto *server = find(owner.server);
+    if (server == nullptr) {
+        return m_goneSince.contains(owner.server) ? OwnerState::Gone : OwnerState::Unknown;
+    }
+    if (server->entry.startedUnixMs > owner.startedUnixMs) {
+        return OwnerState::Restarted;
+    }
+    if (server->entry.startedUnixMs < owner.startedUnixMs) {
+        return OwnerState::Unknown;
+    }
+    return acceptsRequests(*server) ? OwnerState::Usable : OwnerState::Leaving;
+}
+
+auto ServerRegistry::goneSince(const BackendServerId &id) const -> std::optional<TimePoint>
+{
+    const auto found = m_goneSince.find(id);
+    return found == m_goneSince.end() ? std::nullopt : std::optional(found->second);
+}
+
 auto ServerRegistry::acceptsRequests(const RegisteredServer &server) const -> bool
 {
     return !server.entry.draining && !m_evacuated.contains(server.entry.zone);
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -32,6 +32,7 @@
     milliseconds connectTimeout{300};
     milliseconds maxIdleAge{8000}; ///< servers close idle connections after about 10 s
     milliseconds minTimeToSend{20}; ///< a request with less time left is not sent
+    milliseconds longestWaitForMove{500}; ///< of a request whose key's owner has restarted
     std::uint64_t randomSeed = 0;
 };
 
@@ -191,11 +192,10 @@
                 return;
             }
             owner = m_handlers.owner(active.service, *active.caller.key);
-            if (owner.server.empty()) {
-                dispatchLater(active, now);
+            active.record.server = owner.server;
+            if (holdBack(number, owner)) {
                 return;
             }
-            active.record.server = owner.server;
             if (m_pauses.isPaused(owner, now)) {
                 refuse(number, refusalAfterFailure(active.verdict)); // another VM may send it
                 return;
@@ -220,6 +220,42 @@
                         now);
     }
 
+    // Delays or refuses a request whose key has no owner that can be asked for a slot. Returns
+    // whether it did.
+    auto holdBack(std::uint64_t number, const ServerIncarnation &owner) -> bool
+    {
+        auto &active = m_requests.at(number);
+        const auto now = m_loop.now();
+        if (owner.server.empty()) {
+            dispatchLater(active, now);
+            return true;
+        }
+        switch (m_handlers.registry().ownerState(owner)) {
+        case OwnerState::Usable:
+        case OwnerState::Unknown:
+            return false;
+        case OwnerState::Restarted:
+            if (now - active.receivedAt < m_options.longestWaitForMove) {
+                dispatchLater(active, now);
+            } else {
+                refuse(number, refusalWhileKeyMoves(active.verdict));
+            }
+            return true;
+        case OwnerState::Leaving:
+            refuse(number, refusalWhileKeyMoves(active.verdict));
+            return true;
+        case OwnerState::Gone:
+            refuse(number, refusalWithoutOwner(active.verdict, goneFor(owner, now)));
+            return true;
+        }
+        return false;
+    }
+
+    [[nodiscard]] auto goneFor(const ServerIncarnation &owner, TimePoint now) const -> Duration
+    {
+        return now - m_handlers.registry().goneSince(owner.server).value_or(now);
+    }
+
     // Delays a request until the key has an owner again or a usable server may be granted.
     auto dispatchLater(ActiveRequest &active, TimePoint now) -> void
     {
--- a/src/gateway/request_refusals.cpp
+++ b/src/gateway/request_refusals.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_refusals.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -8,6 +9,12 @@
 namespace {
 
 constexpr milliseconds retryAfterNotRun{100};
+/// A move takes a call to the owner, which ends its running requests, and a record in the store.
+constexpr milliseconds retryAfterMove{300};
+/// Time in which a key gets another owner after its server was removed. The announcement of a
+/// server expires some seconds after its last lease began, so that part of the lease is over by
+/// then.
+constexpr milliseconds timeToNewOwner{4000};
 
 // Returns a refusal whose reason and Retry-After depend on whether the request did not run.
 auto refusalBy(Verdict verdict, RefusalReason ifNotRun, RefusalReason otherwise, std::string detail)
@@ -34,6 +41,26 @@
     return refusal;
 }
 
+auto refusalWhileKeyMoves(Verdict verdict) -> Refusal
+{
+    auto refusal = refusalBy(verdict, RefusalReason::KeyIsMoving, RefusalReason::AnswerLost,
+                             "the key moves to another owner");
+    if (refusal.retryAfter) {
+        refusal.retryAfter = retryAfterMove;
+    }
+    return refusal;
+}
+
+auto refusalWithoutOwner(Verdict verdict, Duration goneFor) -> Refusal
+{
+    auto refusal = refusalBy(verdict, RefusalReason::KeyIsMoving, RefusalReason::AnswerLost,
+                             "the owner of the key is gone");
+    if (refusal.retryAfter) {
+        refusal.retryAfter = std::max<Duration>(timeToNewOwner - goneFor, retryAfterMove);
+    }
+    return refusal;
+}
+
 auto refusalAfterFailure(Verdict verdict) -> Refusal
 {
     return refusalBy(verdict, RefusalReason::ServerDeclined, RefusalReason::AnswerLost, {});
--- a/src/gateway/request_refusals.h
+++ b/src/gateway/request_refusals.h
@@ -12,6 +12,12 @@
 
 /// Refuses a request for which no slot is expected to become free in time.
 [[nodiscard]] auto refusalWithoutSlot(Verdict verdict, Duration retryAfter) -> Refusal;
+/// Refuses a request whose key moves to another owner, because the present one is leaving or has
+/// restarted.
+[[nodiscard]] auto refusalWhileKeyMoves(Verdict verdict) -> Refusal;
+/// Refuses a request whose key belongs to a server that is gone, until the key has another owner.
+/// @param goneFor time since this VM has known that the server is gone
+[[nodiscard]] auto refusalWithoutOwner(Verdict verdict, Duration goneFor) -> Refusal;
 /// Refuses a request after an attempt that failed and may not be repeated.
 [[nodiscard]] auto refusalAfterFailure(Verdict verdict) -> Refusal;
 /// Refuses a request whose deadline has passed.
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -538,6 +538,29 @@
     deployment.runFor(milliseconds(500));
 }
 
+TEST_CASE("a key whose owner says that it is leaving is refused at once while the store is down")
+{
+    // One of the VMs allocates the owner's slots and does not learn that the owner is leaving.
+    for (const auto vm : {std::size_t{0}, std::size_t{1}}) {
+        auto deployment = Deployment(2);
+        REQUIRE(deployment.serves(0, "/keyed/1"));
+        REQUIRE(deployment.serves(1, "/keyed/1"));
+        deployment.store().setFaults({.down = true});
+        auto &owner = deployment.server(deployment.server(0).holds(40'000) ? 0 : 1);
+        owner.options().leaving = true;
+        const auto send = [&](const std::string &id) {
+            return deployment.send(vm, deployment.request("GET", "/keyed/1", id));
+        };
+        CHECK(send("a").response.status == 200);
+        const auto before = owner.arrivals().size();
+        const auto outcome = send("b");
+        CHECK(outcome.response.status == 503);
+        CHECK(outcome.response.headers.find("retry-after"));
+        CHECK(outcome.elapsed < milliseconds(500));
+        CHECK(owner.arrivals().size() == before);
+    }
+}
+
 TEST_CASE("a server that turns a request away for a time gets none from that VM until it is over")
 {
     constexpr auto keyedServers = std::size_t{0};
--- a/tests/contract/request_refusals_test.cpp
+++ b/tests/contract/request_refusals_test.cpp
@@ -10,7 +10,10 @@
 {
     const auto refusalsBy = [](Verdict verdict) {
         return std::vector<Refusal>{refusalWithoutSlot(verdict, milliseconds(70)),
-                                    refusalAfterFailure(verdict), refusalAtDeadline(verdict),
+                                    refusalWhileKeyMoves(verdict),
+                                    refusalWithoutOwner(verdict, seconds(1)),
+                                    refusalAfterFailure(verdict),
+                                    refusalAtDeadline(verdict),
                                     refusalAtShutdown(verdict)};
     };
     constexpr auto promise = 503;
@@ -30,3 +33,14 @@
     }
     CHECK(refusalWithoutSlot(Verdict::NotRun, milliseconds(70)).retryAfter == milliseconds(70));
 }
+
+TEST_CASE("the longer an owner is gone, the sooner its callers are to come back")
+{
+    const auto early = refusalWithoutOwner(Verdict::NotRun, milliseconds(0)).retryAfter;
+    const auto late = refusalWithoutOwner(Verdict::NotRun, seconds(3)).retryAfter;
+    const auto overdue = refusalWithoutOwner(Verdict::NotRun, seconds(30)).retryAfter;
+    REQUIRE((early && late && overdue));
+    CHECK(*early > *late);
+    CHECK(*late > *overdue);
+    CHECK(*overdue > Duration::zero());
+}
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -129,6 +129,27 @@
     CHECK(registry.find(BackendServerId("t")) == nullptr);
 }
 
+TEST_CASE("an owner that has left, restarted or is gone is told from one that is not known yet")
+{
+    auto registry = ServerRegistry();
+    const auto owner = ServerIncarnation{.server = BackendServerId("s"), .startedUnixMs = 10};
+    CHECK(registry.ownerState(owner) == OwnerState::Unknown);
+    registry.announce(entry("s", 10, 5), start);
+    CHECK(registry.ownerState(owner) == OwnerState::Usable);
+    registry.setEvacuatedZones({AvailabilityZoneId("a")});
+    CHECK(registry.ownerState(owner) == OwnerState::Leaving);
+    registry.setEvacuatedZones({});
+    registry.announce(entry("s", 11, 1), start);
+    CHECK(registry.ownerState(owner) == OwnerState::Restarted);
+    registry.remove(BackendServerId("s"), start + seconds(1));
+    CHECK(registry.expire(start + seconds(1)));
+    CHECK(registry.ownerState(owner) == OwnerState::Gone);
+    CHECK(registry.goneSince(BackendServerId("s")) == start + seconds(1));
+    registry.announce(entry("s", 12, 1), start + seconds(2));
+    CHECK(registry.ownerState(owner) == OwnerState::Restarted);
+    CHECK_FALSE(registry.goneSince(BackendServerId("s")));
+}
+
 TEST_CASE("servers of evacuated zones get no new requests")
 {
     auto registry = ServerRegistry();
