Let reads of the log go on while their response arrives

A VM of the first composition with a slow link could not follow the log: a read whose response took longer than the timeout ended there, was sent again and ended again.

Change: a read ends after its timeout without the first byte, after a timeout without further bytes, and after 8 s beyond its wait in any case.

A response that stops arriving still ends the read.

--- a/src/io/log_service.cpp
+++ b/src/io/log_service.cpp
@@ -10,6 +10,9 @@
 
 using nlohmann::json;
 
+/// Longest time that the response to a read may take to arrive, as over a slow link.
+constexpr seconds longestTransfer{8};
+
 // Returns the JSON body of a response with status 200.
 auto parseResponseBody(const HttpOutcome &outcome) -> Result<json>
 {
@@ -115,11 +118,14 @@
 auto HttpLogService::read(const LogReadOptions &options,
                           std::function<void(const Settled<LogReadResponse> &)> callback) -> void
 {
-    m_client.call(m_address, logReadRequest(options),
-                  {.timeout = m_timeout + options.wait, .connectTimeout = m_timeout},
-                  [callback = std::move(callback)](const HttpOutcome &outcome) {
-                      callback(settle([&] { return parseLogReadResponse(outcome); }));
-                  });
+    m_client.call(
+        m_address, logReadRequest(options),
+        {.timeout = m_timeout + options.wait,
+         .slowResponse = SlowResponse{.pause = m_timeout, .total = options.wait + longestTransfer},
+         .connectTimeout = m_timeout},
+        [callback = std::move(callback)](const HttpOutcome &outcome) {
+            callback(settle([&] { return parseLogReadResponse(outcome); }));
+        });
 }
 
 auto HttpLogService::append(const Record &record,
