Let a controller act only while it may still hold the claim

A controller acts for 6 s after its last contact with the store, and its successor counts leases on that. Found by reading: reads of any topic counted as contact, and joins of the election that another VM had won. A controller whose connection for the ownership topic had gone silent, while its other reads went on, could renew leases beside its successor for as long as that lasted.

Change: contact is a read of the ownership topic that brings the view up to date, or a join that this VM wins.

Evidence: the new test, a controller that is elected no more, still renews after its time without the change (3 grants in 0.6 s).

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -278,7 +278,9 @@
                         logEvent(LogLevel::Info, "store-regained",
                                  {{"topic", name}, {"offset", end}});
                     }
-                    m_controllerRunner.onStoreContact(sentAt);
+                    if (&topicOutage == &m_fleetOutage) {
+                        m_controllerRunner.onOwnershipRead(sentAt);
+                    }
                 },
             .onFailure =
                 [this, name, &topicOutage](const Error &error) {
--- a/src/gateway/key_controller_runner.h
+++ b/src/gateway/key_controller_runner.h
@@ -88,7 +88,9 @@
     {
         m_controller.onView(view, m_loop.now());
     }
-    auto onStoreContact(TimePoint sentAt) -> void
+    /// Records that a read of the ownership topic, sent at @p sentAt, brought this VM's view up to
+    /// date. Reads of other topics do not show whether another VM has claimed ownership.
+    auto onOwnershipRead(TimePoint sentAt) -> void
     {
         m_controller.onStoreContact(sentAt);
     }
@@ -143,10 +145,14 @@
         }
         m_store.joinGroup(groupRequest(),
                           [this, sentAt = m_loop.now()](const Settled<bool> &elected) {
-                              if (elected && !m_left) {
+                              if (!elected || m_left) {
+                                  return;
+                              }
+                              // If another VM is elected, it may have claimed ownership since.
+                              if (elected.value()) {
                                   m_controller.onStoreContact(sentAt);
-                                  m_controller.setElected(elected.value());
                               }
+                              m_controller.setElected(elected.value());
                           });
     }
 
