Hand what a controller knows of its grants to the next one

Cause: the 6.4 s of each lease counted anew from every change, now from when the former controller had read the claim.

Change: a process remembers when its last grant to each server arrived at the latest. A former controller sends these times to the VM whose claim it has read, with its next reports of work. The new one counts each lease from the last grant of all processes that may have renewed it; those that do not report count as before. Reports concern a process over all its terms, so that controllers that take turns lose nothing. Leases that ended long ago no longer free a range at once: the new controller first tries to renew, as after a time without any controller.

Weighed: times of grants in the record (each renewal would be a record), reports to all candidates while a controller acts (needs a promise not to renew meanwhile; it would help when controllers are killed, and is left), a shorter lease (keys would be lost at each change).

Evidence: simulation, 30 of 48 servers silent, five changes of controller within 6 s: keys owned again within 8 s.

--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/error.h"
+#include "figlanding/gateway/key_controller.h"
 #include "figlanding/gateway/key_ownership.h"
 #include "figlanding/gateway/slot_types.h"
 #include "figlanding/gateway/store.h"
@@ -121,8 +122,8 @@
     auto operator==(const TopicUpdate &) const -> bool = default;
 };
 
-using FleetPayload =
-    std::variant<Heartbeat, SlotAcquire, SlotResponse, SlotRelease, TopicUpdate, WorkReport>;
+using FleetPayload = std::variant<Heartbeat, SlotAcquire, SlotResponse, SlotRelease, TopicUpdate,
+                                  WorkReport, LeaseReport>;
 
 /// A datagram with its sender.
 struct FleetMessage
--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -37,7 +37,7 @@
 ///   sends another grant only if the store has confirmed since then that it is still elected.
 /// - A new controller does not know the renewals of earlier ones. It counts leases from the end
 ///   of the period in which an earlier controller may still renew them. The period ends as soon as
-///   the earlier controller's VM proves that it has read the new claim.
+///   the earlier controller's VM proves that it has read the new claim, or reports its last grants.
 
 namespace figlanding {
 
@@ -73,6 +73,24 @@
     auto operator==(const ProcessProgress &) const -> bool = default;
 };
 
+/// When the last grant of a process arrived at a server, at the latest.
+struct OwnerGrant
+{
+    ServerIncarnation server;
+    milliseconds ago{}; ///< before the report; negative for a grant that may still arrive
+
+    auto operator==(const OwnerGrant &) const -> bool = default;
+};
+
+/// What an earlier controller tells the present one: the last grants of its process to all servers.
+struct LeaseReport
+{
+    Term term = 0; ///< of the claim that the earlier controller has read
+    std::vector<OwnerGrant> grants;
+
+    auto operator==(const LeaseReport &) const -> bool = default;
+};
+
 /// State of the ownership topic.
 struct OwnershipView
 {
@@ -219,6 +237,12 @@
     /// Processes the progress of another VM's process. It may prove that an earlier controller does
     /// not renew leases any more.
     auto onProgress(const ProcessProgress &progress, TimePoint now) -> void;
+    /// Returns the last grants of this process for the VM that has claimed ownership after it;
+    /// empty if there is nothing to tell, or the claim is not new any more.
+    [[nodiscard]] auto leaseReport(TimePoint now) const -> std::optional<LeaseReport>;
+    /// Processes the report of an earlier controller.
+    auto onLeaseReport(const ControllerProcess &from, const LeaseReport &report, TimePoint now)
+        -> void;
     /// Sets whether the group in the store elects this VM as the controller.
     auto setElected(bool elected) -> void;
     /// Handles the outcome of an append.
@@ -250,6 +274,15 @@
 private:
     enum class Phase { Held, Releasing, Free };
 
+    // A process that held the claim before.
+    struct EarlierController
+    {
+        ControllerProcess process;
+        TimePoint renewsUntil; ///< unless it has reported
+        /// Its last grants by the time at which they arrived at the latest; empty: not reported.
+        std::optional<std::map<ServerIncarnation, TimePoint>> grants;
+    };
+
     // A range and what this controller knows about its lease.
     struct Range
     {
@@ -299,7 +332,8 @@
     [[nodiscard]] auto earlierControllers(TimePoint now) const
         -> std::optional<std::vector<ControllerProcess>>;
     auto beginTerm(TimePoint now) -> void;
-    [[nodiscard]] auto renewedByOthersUntil() const -> TimePoint;
+    auto noteGrant(const ServerIncarnation &server, TimePoint arrivedBy) -> void;
+    [[nodiscard]] auto grantedByOthersUntil(const ServerIncarnation &owner) const -> TimePoint;
     auto endTerm() -> void;
     auto updateAddresses(const ServerRegistry &registry) -> void;
     [[nodiscard]] auto addressOf(const ServerIncarnation &incarnation) const
@@ -311,6 +345,8 @@
         -> void;
     [[nodiscard]] static auto ownerExited(const Range &range, const ControllerInputs &inputs)
         -> bool;
+    [[nodiscard]] static auto isRenewable(const Range &range, const ServerRegistry &registry)
+        -> bool;
     [[nodiscard]] static auto isMovable(const Range &range) -> bool;
     [[nodiscard]] auto mayRetryGrant(const Range &range) const -> bool;
     [[nodiscard]] static auto isMergeable(const Range &range) -> bool;
@@ -349,9 +385,10 @@
     TimePoint m_storeContactAt;
     TimePoint m_claimSeenAt; ///< when the view showed the present claim for the first time
     LogOffset m_claimOffset = 0; ///< of the claim of this VM
-    /// Earlier controllers and the time until which each may renew leases.
-    std::vector<std::pair<ControllerProcess, TimePoint>> m_earlierControllers;
-    TimePoint m_unlistedRenewUntil; ///< the same for controllers that no claim lists
+    std::vector<EarlierController> m_earlierControllers;
+    TimePoint m_unlistedRenewUntil; ///< for earlier controllers that no claim lists
+    /// When the last grant of this process, in any of its terms, arrived at each server.
+    std::map<ServerIncarnation, TimePoint> m_lastGrants;
     std::optional<Append> m_append; ///< in flight, or of unknown effect
     bool m_appendInFlight = false;
     TimePoint m_appendRetryAt; ///< after an outcome Unknown
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -28,7 +28,8 @@
     Release = 4,
     Topic = 5,
     Work = 6,
-    ShortenedTopic = 7
+    ShortenedTopic = 7,
+    Leases = 8
 };
 
 // Rounds to single precision, because CBOR encodes a number in four bytes instead of eight if that
@@ -78,6 +79,16 @@
     return {static_cast<int>(Kind::Work), std::move(keys), std::move(times)};
 }
 
+auto toJson(const LeaseReport &message) -> json
+{
+    auto grants = json::array();
+    for (const auto &grant : message.grants) {
+        grants.push_back(
+            {grant.server.server.value(), grant.server.startedUnixMs, grant.ago.count()});
+    }
+    return {static_cast<int>(Kind::Leases), message.term, std::move(grants)};
+}
+
 auto toJson(const SlotAcquire &message) -> json
 {
     auto excluded = json::array();
@@ -195,6 +206,18 @@
     return message;
 }
 
+auto decodeLeaseReport(const json &fields) -> LeaseReport
+{
+    auto message = LeaseReport{.term = fields.at(1).get<Term>(), .grants = {}};
+    for (const auto &row : fields.at(2)) {
+        message.grants.push_back(
+            {.server = {.server = BackendServerId(row.at(0).get<std::string>()),
+                        .startedUnixMs = row.at(1).get<std::int64_t>()},
+             .ago = milliseconds(row.at(2).get<std::int64_t>())});
+    }
+    return message;
+}
+
 auto decodeAcquire(const json &fields) -> SlotAcquire
 {
     auto message = SlotAcquire{.ticket = fields.at(1).get<std::uint64_t>(),
@@ -281,6 +304,8 @@
         return FleetPayload(decodeTopicUpdate(fields));
     case Kind::Work:
         return FleetPayload(decodeWorkReport(fields));
+    case Kind::Leases:
+        return FleetPayload(decodeLeaseReport(fields));
     }
     return fail(ErrorCode::InvalidValue, "unknown datagram kind");
 }
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// Time for which grants are remembered; the leases that they began are over by then.
+constexpr seconds grantMemory{30};
+/// Time after the claim of another VM in which this one reports to it.
+constexpr seconds reportDuration{3};
+
 // Returns whether a record with this fence is part of a table. No two records have the same fence.
 auto hasFence(const OwnershipTable &table, FencingToken fence) -> bool
 {
@@ -125,9 +130,8 @@
     if (!claim.earlier) {
         return std::nullopt;
     }
-    // An earlier process of a VM that has claimed again has ended.
     std::copy_if(claim.earlier->begin(), claim.earlier->end(), std::back_inserter(result),
-                 [&](const ControllerProcess &process) { return process.vm != claim.vm; });
+                 [&](const ControllerProcess &process) { return process != result.front(); });
     return result;
 }
 
@@ -136,20 +140,36 @@
     m_active = true;
     m_fenceCount = 0;
     m_earlierControllers.clear();
+    std::erase_if(m_lastGrants, [&](const auto &item) { return item.second + grantMemory < now; });
     const auto renewsUntil = now + m_options.controllerLease;
-    m_unlistedRenewUntil = m_view.claim.earlier ? TimePoint{} : renewsUntil;
-    for (const auto &process : m_view.claim.earlier.value_or(std::vector<ControllerProcess>{})) {
+    m_unlistedRenewUntil = m_view.claim.earlier ? TimePoint{} : renewsUntil + m_options.callTimeout;
+    for (const auto &earlier : m_view.claim.earlier.value_or(std::vector<ControllerProcess>{})) {
         // Two processes of a VM never run at the same time.
-        const auto hasEnded = process.vm == m_options.self;
-        m_earlierControllers.emplace_back(process, hasEnded ? now : renewsUntil);
+        const auto hasEnded = earlier.vm == m_options.self;
+        m_earlierControllers.push_back(
+            {.process = earlier, .renewsUntil = hasEnded ? now : renewsUntil});
+        if (earlier == process()) {
+            m_earlierControllers.back().grants = m_lastGrants;
+        }
     }
 }
 
-auto KeyController::renewedByOthersUntil() const -> TimePoint
+auto KeyController::noteGrant(const ServerIncarnation &server, TimePoint arrivedBy) -> void
+{
+    auto &last = m_lastGrants[server];
+    last = std::max(last, arrivedBy);
+}
+
+// Returns until when grants of earlier controllers may have arrived at a server.
+auto KeyController::grantedByOthersUntil(const ServerIncarnation &owner) const -> TimePoint
 {
     auto result = m_unlistedRenewUntil;
-    for (const auto &[process, until] : m_earlierControllers) {
-        result = std::max(result, until);
+    for (const auto &earlier : m_earlierControllers) {
+        if (!earlier.grants) {
+            result = std::max(result, earlier.renewsUntil + m_options.callTimeout);
+        } else if (const auto grant = earlier.grants->find(owner); grant != earlier.grants->end()) {
+            result = std::max(result, grant->second);
+        }
     }
     return result;
 }
@@ -161,10 +181,43 @@
     if (!m_active || progress.ownershipEnd <= m_claimOffset) {
         return;
     }
-    for (auto &[process, until] : m_earlierControllers) {
-        if (process.vm == progress.process.vm) {
-            const auto same = process.incarnation == progress.process.incarnation;
-            until = std::min<TimePoint>(until, same ? now : now - progress.uptime);
+    for (auto &earlier : m_earlierControllers) {
+        if (earlier.process.vm == progress.process.vm) {
+            const auto ended = earlier.process == progress.process ? now : now - progress.uptime;
+            earlier.renewsUntil = std::min<TimePoint>(earlier.renewsUntil, ended);
+        }
+    }
+}
+
+auto KeyController::leaseReport(TimePoint now) const -> std::optional<LeaseReport>
+{
+    if (m_active || !m_hasView || holdsClaim() || now - m_claimSeenAt > reportDuration) {
+        return std::nullopt;
+    }
+    auto report = LeaseReport{.term = m_view.claim.term, .grants = {}};
+    for (const auto &[server, arrivedBy] : m_lastGrants) {
+        if (arrivedBy + grantMemory >= now) {
+            report.grants.push_back(
+                {.server = server, .ago = std::chrono::floor<milliseconds>(now - arrivedBy)});
+        }
+    }
+    return report.grants.empty() ? std::nullopt : std::optional(std::move(report));
+}
+
+// A process that reports for this VM's term has read its claim, and grants nothing more.
+auto KeyController::onLeaseReport(const ControllerProcess &from, const LeaseReport &report,
+                                  TimePoint now) -> void
+{
+    if (!m_active || report.term != m_view.claim.term) {
+        return;
+    }
+    for (auto &earlier : m_earlierControllers) {
+        if (earlier.process != from || earlier.grants) {
+            continue;
+        }
+        earlier.grants.emplace();
+        for (const auto &grant : report.grants) {
+            earlier.grants->emplace(grant.server, now - grant.ago);
         }
     }
 }
@@ -172,6 +225,13 @@
 auto KeyController::endTerm() -> void
 {
     m_active = false;
+    for (const auto &[id, service] : m_services) {
+        for (const auto &range : service.ranges) {
+            if (range.grantInFlight) {
+                noteGrant(range.owned.owner, range.grantSentAt + m_options.callTimeout);
+            }
+        }
+    }
     m_services.clear();
     m_pendingCommands.clear();
 }
@@ -305,6 +365,7 @@
         if (end != CommandOutcome::NotSent && end != CommandOutcome::ConnectionRefused) {
             range.sentAt = range.grantSentAt;
             range.arrivedBy = now;
+            noteGrant(range.owned.owner, now);
         }
         switch (end) {
         case CommandOutcome::Accepted:
--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -30,8 +30,7 @@
 
 auto KeyController::leaseEnd(const Range &range) const -> TimePoint
 {
-    const auto byOthers = renewedByOthersUntil() + m_options.callTimeout;
-    return std::max(range.arrivedBy, byOthers) + leaseWithDrift();
+    return std::max(range.arrivedBy, grantedByOthersUntil(range.owned.owner)) + leaseWithDrift();
 }
 
 auto KeyController::ownerExited(const Range &range, const ControllerInputs &inputs) -> bool
@@ -44,6 +43,14 @@
         && range.connectionRefusals >= refusalsToConfirmExit;
 }
 
+// Returns whether the next grant may renew the lease, or begin it anew if it has ended, as after a
+// time without a controller.
+auto KeyController::isRenewable(const Range &range, const ServerRegistry &registry) -> bool
+{
+    return !range.unansweredSince && registry.ownerState(range.owned.owner) != OwnerState::Restarted
+        && registry.find(range.owned.owner.server) != nullptr;
+}
+
 auto KeyController::freeAbandonedRanges(Service &service, const ControllerInputs &inputs,
                                         TimePoint now) -> void
 {
@@ -53,7 +60,7 @@
             continue;
         }
         const auto exited = ownerExited(range, inputs);
-        const auto expired = now >= leaseEnd(range);
+        const auto expired = !isRenewable(range, inputs.registry) && now >= leaseEnd(range);
         if (expired && !exited) {
             m_avoidedUntil[range.owned.owner] = now + m_options.avoidDuration;
         }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -348,6 +348,11 @@
             m_keyLoads.add(*report);
             return;
         }
+        if (const auto *leases = std::get_if<LeaseReport>(&message.payload)) {
+            m_controllerRunner.onLeaseReport(
+                {.vm = message.from, .incarnation = message.incarnation}, *leases);
+            return;
+        }
         if (const auto *update = std::get_if<TopicUpdate>(&message.payload)) {
             for (auto *follower : followers()) {
                 if (follower->topic() == update->topic) {
@@ -409,10 +414,14 @@
     {
         const auto report =
             WorkReport{.keys = m_keyLoads.takeCounts(), .serviceTimes = m_slots.serviceTimes()};
-        if (m_storeView.ownership().claim.vm == m_settings.vm) {
+        const auto &controller = m_storeView.ownership().claim.vm;
+        if (controller == m_settings.vm) {
             m_keyLoads.add(report);
-        } else {
-            m_link->send(m_storeView.ownership().claim.vm, report);
+            return;
+        }
+        m_link->send(controller, report);
+        if (const auto leases = m_controllerRunner.leaseReport()) {
+            m_link->send(controller, *leases);
         }
     }
 
--- a/src/gateway/key_controller_runner.h
+++ b/src/gateway/key_controller_runner.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -98,6 +99,14 @@
     {
         m_controller.onProgress(progress, m_loop.now());
     }
+    [[nodiscard]] auto leaseReport() const -> std::optional<LeaseReport>
+    {
+        return m_controller.leaseReport(m_loop.now());
+    }
+    auto onLeaseReport(const ControllerProcess &from, const LeaseReport &report) -> void
+    {
+        m_controller.onLeaseReport(from, report, m_loop.now());
+    }
     auto onSuspended() -> void
     {
         m_controller.onSuspended();
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -214,6 +214,9 @@
     const auto work = WorkReport{.keys = {{ServiceId("s"), 65'535, 2}},
                                  .serviceTimes = {{BackendServerId("s"), milliseconds(90)}}};
     CHECK(roundTrip(work).payload == FleetPayload(work));
+    const auto leases = LeaseReport{
+        .term = 7, .grants = {{.server = {BackendServerId("s"), 7}, .ago = milliseconds(-30)}}};
+    CHECK(roundTrip(leases).payload == FleetPayload(leases));
 }
 
 TEST_CASE("malformed datagrams are rejected")
--- a/tests/unit/key_controller_test.cpp
+++ b/tests/unit/key_controller_test.cpp
@@ -132,6 +132,7 @@
 {
     auto options = dozensOfSilentServers;
     options.leaderChangesAt = {options.loss.at + seconds(1)};
+    options.reportsLeases = false;
     // The former controller renews for a second after the loss and then reads the claim.
     constexpr auto untilRead = milliseconds(1900);
     const auto outcome = runKeySimulation(options);
@@ -144,6 +145,17 @@
     CHECK(unread.ownedAgainAfter > KeyControllerOptions{}.controllerLease + seconds(7));
 }
 
+TEST_CASE("controllers that take turns do not delay the keys of dozens of servers that fell silent")
+{
+    auto options = dozensOfSilentServers;
+    const auto at = options.loss.at;
+    options.leaderChangesAt = {at + seconds(1), at + milliseconds(3000), at + milliseconds(3200),
+                               at + milliseconds(3300), at + milliseconds(5800)};
+    const auto outcome = runKeySimulation(options);
+    CHECK(outcome.violation == "");
+    CHECK(outcome.ownedAgainAfter < longestLeaseTime + milliseconds(500)); // between two reports
+}
+
 TEST_CASE("controllers that all start anew count leases from the end of the processes before them")
 {
     auto options = dozensOfSilentServers;
--- a/tests/unit/key_simulation.cpp
+++ b/tests/unit/key_simulation.cpp
@@ -121,8 +121,14 @@
                 .process = m_controllers.at(i)->process(),
                 .uptime = std::chrono::duration_cast<milliseconds>(m_now - m_startedAt.at(i)),
                 .ownershipEnd = m_readEnd.at(i)};
-            schedule(randomDuration(1, 400), [this, from, progress] {
-                m_controllers.at(static_cast<std::size_t>(1 - from))->onProgress(progress, m_now);
+            const auto report =
+                m_options.reportsLeases ? m_controllers.at(i)->leaseReport(m_now) : std::nullopt;
+            schedule(randomDuration(1, 400), [this, from, progress, report] {
+                auto &other = *m_controllers.at(static_cast<std::size_t>(1 - from));
+                other.onProgress(progress, m_now);
+                if (report) {
+                    other.onLeaseReport(progress.process, *report, m_now);
+                }
             });
         }
     }
--- a/tests/unit/key_simulation.h
+++ b/tests/unit/key_simulation.h
@@ -65,6 +65,7 @@
     std::vector<milliseconds> restartsAt; ///< the same for restarts of all controllers
     /// Whether a controller that is elected no more loses its contact to the store for good.
     bool formerLeaderLosesStore = false;
+    bool reportsLeases = true; ///< whether controllers report their last grants to the next one
     seconds faultDuration{40}; ///< first part of the run, with faults
     seconds recoveryDuration{30}; ///< second part of the run, without new faults
     /// Changes the settings of each controller, such as to make it incorrect on purpose.
