Leave the slots of cold servers to the VM that is responsible for them

A VM that gets no response within 250 ms asks the next one for 1.5 s, and not all VMs pass over the same ones.

Change: a VM grants slots of cold servers only in groups that it is responsible for, counting every VM that is alive, and only 2 s after it became so. The grants of the VM before it are over by then, and a VM that has just started has heard of the others. Requests that come by way of a failover get warm servers, or are refused. Weighed: reports of what each VM grants, as for stated limits; they are up to two seconds old in a large fleet, and a cold phase lasts three.

--- a/include/figlanding/gateway/fleet_view.h
+++ b/include/figlanding/gateway/fleet_view.h
@@ -66,6 +66,9 @@
     /// @param excluded other VMs that are not considered
     [[nodiscard]] auto responsibleVm(std::string_view subject, TimePoint now,
                                      const std::set<VmId> &excluded = {}) const -> VmId;
+    /// Returns whether this VM is responsible for @p subject, as responsibleVm() with no VM
+    /// excluded.
+    [[nodiscard]] auto isResponsible(std::string_view subject, TimePoint now) const -> bool;
     /// Returns the number of live VMs that precede this one in the rendezvous order of @p subject:
     /// zero for the responsible VM.
     [[nodiscard]] auto rankOf(std::string_view subject, TimePoint now) const -> std::size_t;
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 /// @file
@@ -62,6 +63,9 @@
     [[nodiscard]] auto limits(TimePoint now) const -> std::map<BackendServerId, double>;
     /// Takes over a limit that a server stated to another VM's broker.
     auto onLimitReport(const VmId &from, const ServerLimit &limit, TimePoint now) -> void;
+    /// Sets whether slots of cold servers of a service are granted. Only one VM at a time may grant
+    /// them, as the rate of a cold server is not shared.
+    auto setGrantsCold(const ServiceId &service, bool grantsCold) -> void;
     /// Sets the part of each stated limit that this broker may use, in (0, 1].
     auto setLimitShare(double share) -> void
     {
@@ -169,6 +173,7 @@
     std::map<TicketId, ServiceId> m_waiting; ///< service of each queued ticket
     std::map<TicketId, ActiveGrant> m_activeGrants;
     std::vector<SlotDecision> m_decisions;
+    std::set<ServiceId> m_withoutCold; ///< services whose cold servers get nothing
     double m_limitShare = 1.0;
 };
 
--- a/src/core/gateway/fleet_view.cpp
+++ b/src/core/gateway/fleet_view.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -82,6 +83,16 @@
     return before;
 }
 
+auto FleetView::isResponsible(std::string_view subject, TimePoint now) const -> bool
+{
+    const auto own = m_leaving ? 0.0 : rendezvousWeight(subject, m_self, m_capacity);
+    return std::none_of(m_members.begin(), m_members.end(), [&](const auto &item) {
+        const auto &member = item.second;
+        return isAlive(member, now) && !member.leaving
+            && rendezvousWeight(subject, member.vm, member.capacity) > own;
+    });
+}
+
 auto FleetView::responsibleVm(std::string_view subject, TimePoint now,
                               const std::set<VmId> &excluded) const -> VmId
 {
--- a/src/core/gateway/slot_broker_servers.cpp
+++ b/src/core/gateway/slot_broker_servers.cpp
@@ -49,6 +49,15 @@
     return maybe || server.info.coldUntil > now;
 }
 
+auto SlotBroker::setGrantsCold(const ServiceId &service, bool grantsCold) -> void
+{
+    if (grantsCold) {
+        m_withoutCold.erase(service);
+    } else {
+        m_withoutCold.insert(service);
+    }
+}
+
 auto SlotBroker::releaseSlot(Server &server, const AvailabilityZoneId &zone) -> void
 {
     server.running -= server.running > 0 ? 1 : 0;
@@ -167,7 +176,8 @@
     if (isCold(server, request, now)) {
         const auto recent = std::count_if(server.grants.begin(), server.grants.end(),
                                           [&](TimePoint at) { return now - at < grantWindow; });
-        return static_cast<double>(recent) + 1.0 <= coldRate(server);
+        return !m_withoutCold.contains(request.service)
+            && static_cast<double>(recent) + 1.0 <= coldRate(server);
     }
     return true;
 }
@@ -198,7 +208,8 @@
     constexpr auto msPerSecond = 1000.0;
     auto result = server.info.slots / observedServiceMs(server);
     if (isCold(server, request, now)) {
-        result = std::min(result, coldRate(server) / msPerSecond);
+        const auto rate = m_withoutCold.contains(request.service) ? 0.0 : coldRate(server);
+        result = std::min(result, rate / msPerSecond);
     }
     if (const auto pace = server.limit.pace(m_limitShare, now)) {
         result = std::min(result, *pace / msPerSecond);
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -387,8 +387,28 @@
     }
 }
 
+// Other VMs ask this one for slots of further groups while they get no response from the VM that is
+// responsible. Several VMs may then grant slots of one server; those of cold servers are left to
+// the responsible one.
+auto SlotClient::updateColdGrants(TimePoint now) -> void
+{
+    for (const auto &[service, count] : m_groupCounts) {
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto group = groupName(service, i);
+            if (!m_view.isResponsible(group.value(), now)) {
+                m_responsibleSince.erase(group);
+                m_broker.setGrantsCold(group, false);
+                continue;
+            }
+            const auto since = m_responsibleSince.try_emplace(group, now).first->second;
+            m_broker.setGrantsCold(group, now - since >= m_options.coldTakeover);
+        }
+    }
+}
+
 auto SlotClient::tick(TimePoint now) -> void
 {
+    updateColdGrants(now);
     // Without the responsible VM, each VM may be one of all that send to a server.
     m_fallbackBroker.setLimitShare(1.0 / static_cast<double>(m_view.aliveCount(now)));
     m_broker.tick(now);
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -32,6 +32,10 @@
     milliseconds resendAfter{120}; ///< an unanswered request for a slot is sent again
     milliseconds failoverAfter{250}; ///< a VM that has not responded for this long is replaced
     milliseconds avoidFor{1500}; ///< a replaced VM gets no requests for this long
+    /// A VM grants slots of cold servers once it has been responsible for their group this long:
+    /// the grants of the VM before it are over then, and a VM that has just started knows the
+    /// others.
+    milliseconds coldTakeover{2000};
     UnconfirmedReleasesOptions releases;
 };
 
@@ -146,6 +150,7 @@
     [[nodiscard]] auto groupOf(const ServiceId &service, const BackendServerId &server) const
         -> ServiceId;
     [[nodiscard]] auto pickGroup(const SlotRequest &request) -> ServiceId;
+    auto updateColdGrants(TimePoint now) -> void;
     auto sendAcquire(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
     [[nodiscard]] auto findResponsibleVm(const ServiceId &group, TimePoint now) -> VmId;
     // Sends a release, and again until it is confirmed.
@@ -168,6 +173,8 @@
     SlotBroker m_fallbackBroker;
     RandomEngine m_random;
     std::map<ServiceId, std::size_t> m_groupCounts;
+    /// Groups that this VM is responsible for, and since when.
+    std::map<ServiceId, TimePoint> m_responsibleSince;
     /// VMs that did not respond, although their heartbeats may still arrive.
     std::map<VmId, TimePoint> m_avoidedUntil;
     std::map<std::uint64_t, Ticket> m_tickets; ///< by ticket number
