Report keys without a live owner on the key controller, and what they wait for

Operators could not see why the keys of lost servers stayed without an owner: the refusals named slots, and the controller logged only the records that it made.

Change: the active controller notes since when each range has no live owner. Once a second it logs for each service what its ranges wait for (the store, a release, the end of a lease, a candidate, a record), how many they are, the oldest one and its owner, leaving out moves that take less than a second; figlanding_unserved_keys{wait} counts the keys.

--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -182,6 +183,30 @@
     const std::map<BackendServerId, double> *limits = nullptr;
 };
 
+/// What a range of keys without a live owner waits for.
+enum class OwnerWait {
+    Store, ///< this VM has no contact with the store
+    Release, ///< the owner has to end its requests and release the range
+    Lease, ///< the lease of an owner that does not respond or is gone has to end
+    Candidate, ///< no server may become its owner
+    Record, ///< the record of its next owner
+};
+
+/// Returns the name for logs and metrics, such as "lease".
+[[nodiscard]] auto toText(OwnerWait wait) -> std::string_view;
+
+/// A range of keys without a live owner.
+struct UnservedRange
+{
+    ServiceId service;
+    KeyRange keys;
+    BackendServerId owner; ///< empty if the range was released
+    OwnerWait waitsFor = OwnerWait::Lease;
+    TimePoint since;
+
+    auto operator==(const UnservedRange &) const -> bool = default;
+};
+
 /// Settings of KeyController.
 struct KeyControllerOptions
 {
@@ -258,6 +283,8 @@
     [[nodiscard]] auto tick(const ControllerInputs &inputs, TimePoint now)
         -> std::vector<ControllerAction>;
 
+    /// Returns the ranges without a live owner; empty while this VM is not the active controller.
+    [[nodiscard]] auto unservedRanges(TimePoint now) const -> std::vector<UnservedRange>;
     /// Returns the process that this controller runs in.
     [[nodiscard]] auto process() const -> ControllerProcess
     {
@@ -304,6 +331,7 @@
         std::uint32_t connectionRefusals = 0; ///< consecutive ConnectionRefused outcomes
         bool addressReused = false; ///< the owner's address belongs to another server now
         std::optional<ServerIncarnation> target; ///< next owner of a range that is moved
+        std::optional<TimePoint> unservedSince; ///< empty while it has a live owner
     };
     struct Service
     {
@@ -332,7 +360,9 @@
     [[nodiscard]] auto earlierControllers(TimePoint now) const
         -> std::optional<std::vector<ControllerProcess>>;
     auto beginTerm(TimePoint now) -> void;
+    auto takeOverLeases(TimePoint now) -> void;
     auto noteGrant(const ServerIncarnation &server, TimePoint arrivedBy) -> void;
+    auto noteGrantsInFlight() -> void;
     [[nodiscard]] auto grantedByOthersUntil(const ServerIncarnation &owner) const -> TimePoint;
     auto endTerm() -> void;
     auto updateAddresses(const ServerRegistry &registry) -> void;
@@ -341,6 +371,10 @@
     auto split(Service &service, const KeyRange &keys) -> void;
     auto tickService(const ServiceId &id, Service &service, const ControllerInputs &inputs,
                      TimePoint now, std::vector<ControllerAction> &actions) -> void;
+    [[nodiscard]] auto hasStoreContact(TimePoint now) const -> bool;
+    static auto noteUnserved(Service &service, const ServerRegistry &registry, TimePoint now)
+        -> void;
+    [[nodiscard]] auto waitOf(const Range &range, TimePoint now) const -> OwnerWait;
     auto freeAbandonedRanges(Service &service, const ControllerInputs &inputs, TimePoint now)
         -> void;
     [[nodiscard]] static auto ownerExited(const Range &range, const ControllerInputs &inputs)
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -1,18 +1,12 @@
 #include "figlanding/gateway/key_controller.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace figlanding {
 
 namespace {
 
-/// Time for which grants are remembered; the leases that they began are over by then.
-constexpr seconds grantMemory{30};
-/// Time after the claim of another VM in which this one reports to it.
-constexpr seconds reportDuration{3};
-
 // Returns whether a record with this fence is part of a table. No two records have the same fence.
 auto hasFence(const OwnershipTable &table, FencingToken fence) -> bool
 {
@@ -39,13 +33,6 @@
     : m_options(std::move(options))
 { }
 
-auto KeyController::leaseWithDrift() const -> Duration
-{
-    const auto lease =
-        std::chrono::duration<double, std::milli>(m_options.lease) * (1.0 + m_options.clockDrift);
-    return std::chrono::duration_cast<Duration>(lease) + m_options.timerMargin;
-}
-
 auto KeyController::updateAddresses(const ServerRegistry &registry) -> void
 {
     for (const auto &[id, server] : registry.servers()) {
@@ -113,125 +100,18 @@
     resolveConflict(now);
 }
 
-// Returns the controllers that may still renew leases when this VM claims ownership; nothing if the
-// present claim does not tell. Those before the present claim have stopped once it is old enough.
-auto KeyController::earlierControllers(TimePoint now) const
-    -> std::optional<std::vector<ControllerProcess>>
-{
-    const auto &claim = m_view.claim;
-    auto result = std::vector<ControllerProcess>{};
-    if (claim.term == 0) {
-        return m_view.tables.empty() ? std::optional(result) : std::nullopt;
-    }
-    result.push_back({.vm = claim.vm, .incarnation = claim.incarnation});
-    if (now - m_claimSeenAt >= m_options.controllerLease) {
-        return result;
-    }
-    if (!claim.earlier) {
-        return std::nullopt;
-    }
-    std::copy_if(claim.earlier->begin(), claim.earlier->end(), std::back_inserter(result),
-                 [&](const ControllerProcess &process) { return process != result.front(); });
-    return result;
-}
-
 auto KeyController::beginTerm(TimePoint now) -> void
 {
     m_active = true;
     m_fenceCount = 0;
-    m_earlierControllers.clear();
-    std::erase_if(m_lastGrants, [&](const auto &item) { return item.second + grantMemory < now; });
-    const auto renewsUntil = now + m_options.controllerLease;
-    m_unlistedRenewUntil = m_view.claim.earlier ? TimePoint{} : renewsUntil + m_options.callTimeout;
-    for (const auto &earlier : m_view.claim.earlier.value_or(std::vector<ControllerProcess>{})) {
-        // Two processes of a VM never run at the same time.
-        const auto hasEnded = earlier.vm == m_options.self;
-        m_earlierControllers.push_back(
-            {.process = earlier, .renewsUntil = hasEnded ? now : renewsUntil});
-        if (earlier == process()) {
-            m_earlierControllers.back().grants = m_lastGrants;
-        }
-    }
-}
-
-auto KeyController::noteGrant(const ServerIncarnation &server, TimePoint arrivedBy) -> void
-{
-    auto &last = m_lastGrants[server];
-    last = std::max(last, arrivedBy);
-}
-
-// Returns until when grants of earlier controllers may have arrived at a server.
-auto KeyController::grantedByOthersUntil(const ServerIncarnation &owner) const -> TimePoint
-{
-    auto result = m_unlistedRenewUntil;
-    for (const auto &earlier : m_earlierControllers) {
-        if (!earlier.grants) {
-            result = std::max(result, earlier.renewsUntil + m_options.callTimeout);
-        } else if (const auto grant = earlier.grants->find(owner); grant != earlier.grants->end()) {
-            result = std::max(result, grant->second);
-        }
-    }
-    return result;
-}
-
-// A process that has read this VM's claim is either the earlier controller, which then stops, or a
-// later process of its VM: the earlier controller claimed before, and did not run beside it.
-auto KeyController::onProgress(const ProcessProgress &progress, TimePoint now) -> void
-{
-    if (!m_active || progress.ownershipEnd <= m_claimOffset) {
-        return;
-    }
-    for (auto &earlier : m_earlierControllers) {
-        if (earlier.process.vm == progress.process.vm) {
-            const auto ended = earlier.process == progress.process ? now : now - progress.uptime;
-            earlier.renewsUntil = std::min<TimePoint>(earlier.renewsUntil, ended);
-        }
-    }
-}
-
-auto KeyController::leaseReport(TimePoint now) const -> std::optional<LeaseReport>
-{
-    if (m_active || !m_hasView || holdsClaim() || now - m_claimSeenAt > reportDuration) {
-        return std::nullopt;
-    }
-    auto report = LeaseReport{.term = m_view.claim.term, .grants = {}};
-    for (const auto &[server, arrivedBy] : m_lastGrants) {
-        if (arrivedBy + grantMemory >= now) {
-            report.grants.push_back(
-                {.server = server, .ago = std::chrono::floor<milliseconds>(now - arrivedBy)});
-        }
-    }
-    return report.grants.empty() ? std::nullopt : std::optional(std::move(report));
-}
-
-// A process that reports for this VM's term has read its claim, and grants nothing more.
-auto KeyController::onLeaseReport(const ControllerProcess &from, const LeaseReport &report,
-                                  TimePoint now) -> void
-{
-    if (!m_active || report.term != m_view.claim.term) {
-        return;
-    }
-    for (auto &earlier : m_earlierControllers) {
-        if (earlier.process != from || earlier.grants) {
-            continue;
-        }
-        earlier.grants.emplace();
-        for (const auto &grant : report.grants) {
-            earlier.grants->emplace(grant.server, now - grant.ago);
-        }
-    }
+    m_claimSeenAt = now;
+    takeOverLeases(now);
 }
 
 auto KeyController::endTerm() -> void
 {
     m_active = false;
-    for (const auto &[id, service] : m_services) {
-        for (const auto &range : service.ranges) {
-            if (range.grantInFlight) {
-                noteGrant(range.owned.owner, range.grantSentAt + m_options.callTimeout);
-            }
-        }
-    }
+    noteGrantsInFlight();
     m_services.clear();
     m_pendingCommands.clear();
 }
@@ -466,7 +346,7 @@
         }
         return actions;
     }
-    if (now - m_storeContactAt > m_options.controllerLease) {
+    if (!hasStoreContact(now)) {
         return actions; // another VM may hold the claim by now
     }
     for (const auto &id : inputs.keyedServices) {
--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -5,13 +5,12 @@
 #include <utility>
 
 // Processing of the ranges of one service in a tick. Claims, appends and the outcomes of commands
-// are in key_controller.cpp.
+// are in key_controller.cpp, leases in key_controller_leases.cpp.
 
 namespace figlanding {
 
 namespace {
 
-constexpr std::uint32_t refusalsToConfirmExit = 3; ///< consecutive refused connections
 constexpr double maxRangesFloor = 64.0; ///< lower bound of the limit on ranges, for small fleets
 
 } // namespace
@@ -20,6 +19,7 @@
                                 const ControllerInputs &inputs, TimePoint now,
                                 std::vector<ControllerAction> &actions) -> void
 {
+    noteUnserved(service, inputs.registry, now);
     freeAbandonedRanges(service, inputs, now);
     releaseFromLeavingServers(id, service, inputs, now, actions);
     rebalance(id, service, inputs, now, actions);
@@ -28,51 +28,6 @@
     renew(id, service, inputs, now, actions);
 }
 
-auto KeyController::leaseEnd(const Range &range) const -> TimePoint
-{
-    return std::max(range.arrivedBy, grantedByOthersUntil(range.owned.owner)) + leaseWithDrift();
-}
-
-auto KeyController::ownerExited(const Range &range, const ControllerInputs &inputs) -> bool
-{
-    if (range.addressReused) {
-        return true; // an address is reused only after its server has exited
-    }
-    // Refused connections alone are no proof of an exit: an overloaded server refuses them as well.
-    return inputs.registry.find(range.owned.owner.server) == nullptr
-        && range.connectionRefusals >= refusalsToConfirmExit;
-}
-
-// Returns whether the next grant may renew the lease, or begin it anew if it has ended, as after a
-// time without a controller.
-auto KeyController::isRenewable(const Range &range, const ServerRegistry &registry) -> bool
-{
-    return !range.unansweredSince && registry.ownerState(range.owned.owner) != OwnerState::Restarted
-        && registry.find(range.owned.owner.server) != nullptr;
-}
-
-auto KeyController::freeAbandonedRanges(Service &service, const ControllerInputs &inputs,
-                                        TimePoint now) -> void
-{
-    for (auto &range : service.ranges) {
-        // A grant in flight may reach a new incarnation at the same address.
-        if (range.phase == Phase::Free || range.grantInFlight) {
-            continue;
-        }
-        const auto exited = ownerExited(range, inputs);
-        const auto expired = !isRenewable(range, inputs.registry) && now >= leaseEnd(range);
-        if (expired && !exited) {
-            m_avoidedUntil[range.owned.owner] = now + m_options.avoidDuration;
-        }
-        if (exited || expired) {
-            range.phase = Phase::Free;
-            range.owned.owner = {};
-            range.owned.handOver.clear();
-            range.target.reset();
-        }
-    }
-}
-
 auto KeyController::release(const ServiceId &id, Range &range,
                             std::vector<ControllerAction> &actions) -> void
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/slot_log.h"
 #include "gateway/store_view.h"
 #include "gateway/topic_follower.h"
+#include "gateway/unserved_log.h"
 #include "io/random_bytes.h"
 
 #include <array>
@@ -58,6 +59,7 @@
         , m_metrics(m_settings.vm)
         , m_requestLog(m_metrics)
         , m_slotLog(m_metrics, m_incarnation)
+        , m_unservedLog(m_metrics)
         , m_storeClient(loop, {.tcpUserTimeout = storeTcpUserTimeout})
         , m_serverClient(loop,
                          {.tcpUserTimeout = serverTcpUserTimeout, .acceptsCloseDelimited = true})
@@ -504,6 +506,9 @@
             }
         }
         m_controllerRunner.tick(inputs);
+        if (m_unservedLog.isDue(m_loop.now())) {
+            m_unservedLog.report(m_controllerRunner.unservedRanges(), m_loop.now());
+        }
     }
 
     auto advanceShutdown(TimePoint now) -> void
@@ -531,6 +536,7 @@
     Metrics m_metrics;
     RequestLog m_requestLog;
     SlotLog m_slotLog;
+    UnservedLog m_unservedLog;
     HttpClient m_storeClient;
     HttpClient m_serverClient;
     HttpClient m_commandClient;
--- a/src/gateway/key_controller_runner.h
+++ b/src/gateway/key_controller_runner.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 /// @file
 /// Runs the key controller: executes its actions against the store and the servers.
@@ -111,6 +112,10 @@
     {
         m_controller.onSuspended();
     }
+    [[nodiscard]] auto unservedRanges() const -> std::vector<UnservedRange>
+    {
+        return m_controller.unservedRanges(m_loop.now());
+    }
     [[nodiscard]] auto active() const -> bool
     {
         return m_controller.active();
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -113,6 +113,8 @@
                             "Requests that wait for a slot of a backend server.")};
     MetricCache<prometheus::Gauge> running{registerGaugeFamily(
         registry, "figlanding_server_running_requests", "Requests that run on a backend server.")};
+    MetricCache<prometheus::Gauge> unservedKeys{registerGaugeFamily(
+        registry, "figlanding_unserved_keys", "Keys without a live owner, by what they wait for.")};
     GaugeFamily &vmInfo =
         registerGaugeFamily(registry, "figlanding_vm_info", "Always 1; names the VM.");
     prometheus::Gauge &viewAge = registerGaugeFamily(registry, "figlanding_view_age_seconds",
@@ -175,6 +177,11 @@
     m_impl->replacedReads.get(topic, {{"topic", topic}}).Increment();
 }
 
+auto Metrics::setUnservedKeys(const std::string &wait, std::size_t keys) -> void
+{
+    m_impl->unservedKeys.get(wait, {{"wait", wait}}).Set(static_cast<double>(keys));
+}
+
 auto Metrics::countRetry(const std::string &cause) -> void
 {
     m_impl->retries.get(cause, {{"cause", cause}}).Increment();
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -49,6 +49,9 @@
     /// Counts a read of the store that was replaced while it was in flight.
     /// @param topic "configuration", "servers" or "fleet"
     auto countReplacedRead(const std::string &topic) -> void;
+    /// Sets the number of keys without a live owner, as this VM knows it as the key controller.
+    /// @param wait what they wait for: "store", "release", "lease", "candidate" or "record"
+    auto setUnservedKeys(const std::string &wait, std::size_t keys) -> void;
     /// Counts a second or later attempt at a request.
     /// @param cause reason for the retry, such as "not-run" or "hedge"
     auto countRetry(const std::string &cause) -> void;
--- a/tests/contract/metrics_test.cpp
+++ b/tests/contract/metrics_test.cpp
@@ -19,6 +19,7 @@
     metrics.countRefusal(RefusalReason::RateLimited);
     metrics.countSlotMismatch("acquire");
     metrics.countReplacedRead("configuration");
+    metrics.setUnservedKeys("lease", 12);
     metrics.countRetry("not-run");
     metrics.countRetry("not-run");
     metrics.countDispatch(BackendServerId("s1"), Verdict::MayHaveRun, milliseconds(20));
@@ -37,6 +38,7 @@
         R"(figlanding_request_duration_seconds_bucket{route="rooms",le="0.005"} 1)",
         R"(figlanding_filter_decisions_total{filter="limit",outcome="refused"} 1)",
         R"(figlanding_refusals_total{reason="rate-limited"} 1)",
+        R"(figlanding_unserved_keys{wait="lease"} 12)",
         R"(figlanding_slot_mismatches_total{kind="acquire"} 1)",
         R"(figlanding_store_reads_replaced_total{topic="configuration"} 1)",
         R"(figlanding_retries_total{cause="not-run"} 2)",
