Send a request again to the same server on a new connection

Other operators had a server that sent a second copy of a response, late, on a connection that was in use again. It can happen here where the request's id does not tell: a request for a key that its owner turned away goes to the same owner again, under the same id, and often on the same connection. The copy of the first rejection was then taken for the answer to the second attempt. A caller was told that the request had not run while the owner ran it, or the request was sent a third time.

Copies with the id of another request were already recognised by the HTTP client, and what arrives while a connection is idle closes it.

Change: an attempt at a server that has had this request before uses a new connection.

The test's VM is a fixture that the test of moving keys uses as well.

--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -297,6 +297,8 @@
             active.dispatchAt = now;
             return;
         }
+        // A late second copy of the response to the earlier attempt has the id of this one as well.
+        const auto sentBefore = active.server == incarnation;
         active.stage = Stage::AwaitingResponse;
         active.server = incarnation;
         active.sentAt = now;
@@ -313,6 +315,7 @@
                 {.server = incarnation.server, .timeLeft = timeLeft, .team = active.team}),
             {.timeout = timeLeft,
              .connectTimeout = m_options.connectTimeout,
+             .freshConnection = sentBefore,
              .maxIdleAge = m_options.maxIdleAge,
              .correlationHeader = Protocol::idHeader(active.caller.id)},
             [this, number, attempt](HttpOutcome outcome) {
--- a/tests/contract/request_path_test.cpp
+++ b/tests/contract/request_path_test.cpp
@@ -1,12 +1,16 @@
 #include "gateway/request_path.h"
+#include "raw_server.h"
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 using namespace figlanding;
+using figlanding::testing::RawAction;
+using figlanding::testing::RawServer;
 
 namespace {
 
@@ -74,7 +78,7 @@
     std::unique_ptr<HttpServer> m_server;
 };
 
-auto keyedState() -> std::shared_ptr<const DesiredStateIndex>
+auto keyedState(std::uint32_t maxAttempts) -> std::shared_ptr<const DesiredStateIndex>
 {
     return std::make_shared<const DesiredStateIndex>(
         DesiredState{.version = 1,
@@ -83,63 +87,45 @@
                                  .pathPrefix = "/",
                                  .timeout = milliseconds(5000),
                                  .latencyObjective = milliseconds(4000),
-                                 .maxAttempts = 1,
+                                 .maxAttempts = maxAttempts,
                                  .open = true,
                                  .services = {{.service = service}}}},
                      .services = {{.id = service, .keyed = true}}});
 }
 
-} // namespace
+auto incarnationOf(const char *name) -> ServerIncarnation
+{
+    return {.server = BackendServerId(name), .startedUnixMs = 1};
+}
 
-TEST_CASE("a request whose key moves while it waits for a slot is not sent to the earlier owner")
+// A VM that sends requests for a key to the key's owner, and its callers.
+struct OneVm
 {
-    auto loop = EventLoop();
-    auto first = HoldingServer(loop);
-    auto second = HoldingServer(loop);
-    auto registry = ServerRegistry();
-    for (const auto &[name, server] : {std::pair("s1", &first), std::pair("s2", &second)}) {
+    explicit OneVm(std::uint32_t maxAttempts)
+        : state(keyedState(maxAttempts))
+    {
+        ticker.startRepeating(milliseconds(5));
+    }
+    auto addServer(const char *name, const SocketAddress &address) -> void
+    {
         registry.announce({.id = BackendServerId(name),
                            .startedUnixMs = 1,
                            .service = service,
-                           .address = server->address(),
+                           .address = address,
                            .slots = 1,
                            .sequence = 1},
                           loop.now());
+        slots.setServers(registry, {});
     }
-    auto owner = ServerIncarnation{.server = BackendServerId("s1"), .startedUnixMs = 1};
-    const auto view = FleetView(VmId("vm"), 1.0, {});
-    auto client = HttpClient(loop, {});
-    auto limits = TeamLimits({});
-    auto *decided = static_cast<RequestPath<PlainProtocol> *>(nullptr);
-    auto slots = SlotClient(
-        {.self = VmId("vm")}, view,
-        {.send = [](const auto &, const auto &) {},
-         .onDecision = [&](auto ticket,
-                           const auto &outcome) { decided->onSlotDecision(ticket, outcome); }});
-    slots.setServers(registry, {});
-    auto path = RequestPath<PlainProtocol>(
-        loop, client, slots, limits, {},
-        {.state = [state = keyedState()] { return state; },
-         .registry = [&]() -> const ServerRegistry & { return registry; },
-         .owner = [&](const auto &, auto) { return owner; },
-         .onKey = [](const auto &, auto) {},
-         .fleetSize = [] { return 1.0; },
-         .onStaleOwner = [] {},
-         .onEnd = [](const auto &) {}});
-    decided = &path;
-    auto ticker = Timer(loop, [&] {
-        slots.tick(loop.now());
-        path.tick(loop.now());
-    });
-    ticker.startRepeating(milliseconds(5));
-    auto callers = valueOrElse(
-        [&] {
-            return HttpServer::listen(
-                loop, {.address = {.ip = "127.0.0.1"}},
-                [&](HttpExchange exchange) { path.handle(std::move(exchange)); });
-        },
-        [](const Error &) { return std::unique_ptr<HttpServer>(); });
-    const auto runUntil = [&](const std::function<bool()> &condition) {
+    auto call() -> void
+    {
+        const auto request = HttpRequest{.method = "GET", .target = "/", .headers = {}, .body = {}};
+        caller.call(
+            {.ip = "127.0.0.1", .port = callers->port()}, request, {},
+            [this](const HttpOutcome &outcome) { statuses.push_back(outcome.response.status); });
+    }
+    auto runUntil(const std::function<bool()> &condition) -> bool
+    {
         const auto end = loop.now() + seconds(2);
         auto check = Timer(loop, [&] {
             if (condition() || loop.now() >= end) {
@@ -149,17 +135,84 @@
         check.startRepeating(milliseconds(2));
         loop.run();
         return condition();
-    };
-    auto caller = HttpClient(loop, {});
-    const auto request = HttpRequest{.method = "GET", .target = "/", .headers = {}, .body = {}};
-    for (auto i = 0; i < 2; ++i) {
-        caller.call({.ip = "127.0.0.1", .port = callers->port()}, request, {},
-                    [](const HttpOutcome &) {});
     }
-    REQUIRE(runUntil([&] { return first.arrivals() == 1 && path.pending() == 2; }));
 
-    owner.server = BackendServerId("s2");
+    EventLoop loop;
+    std::shared_ptr<const DesiredStateIndex> state;
+    ServerRegistry registry;
+    ServerIncarnation owner = incarnationOf("s1");
+    FleetView view{VmId("vm"), 1.0, {}};
+    HttpClient client{loop, {}};
+    TeamLimits limits{{}};
+    SlotClient slots{
+        {.self = VmId("vm")},
+        view,
+        {.send = [](const auto &, const auto &) {},
+         .onDecision = [this](auto ticket,
+                              const auto &outcome) { path.onSlotDecision(ticket, outcome); }}};
+    RequestPath<PlainProtocol> path{
+        loop,
+        client,
+        slots,
+        limits,
+        {},
+        {.state = [this] { return state; },
+         .registry = [this]() -> const ServerRegistry & { return registry; },
+         .owner = [this](const auto &, auto) { return owner; },
+         .onKey = [](const auto &, auto) {},
+         .fleetSize = [] { return 1.0; },
+         .onStaleOwner = [] {},
+         .onEnd = [](const auto &) {}}};
+    Timer ticker{loop, [this] {
+                     slots.tick(loop.now());
+                     path.tick(loop.now());
+                 }};
+    std::unique_ptr<HttpServer> callers = valueOrElse(
+        [this] {
+            return HttpServer::listen(
+                loop, {.address = {.ip = "127.0.0.1"}},
+                [this](HttpExchange exchange) { path.handle(std::move(exchange)); });
+        },
+        [](const Error &) { return std::unique_ptr<HttpServer>(); });
+    HttpClient caller{loop, {}};
+    std::vector<int> statuses;
+};
+
+} // namespace
+
+TEST_CASE("a request whose key moves while it waits for a slot is not sent to the earlier owner")
+{
+    auto vm = OneVm(1);
+    auto first = HoldingServer(vm.loop);
+    auto second = HoldingServer(vm.loop);
+    vm.addServer("s1", first.address());
+    vm.addServer("s2", second.address());
+    vm.call();
+    vm.call();
+    REQUIRE(vm.runUntil([&] { return first.arrivals() == 1 && vm.path.pending() == 2; }));
+
+    vm.owner = incarnationOf("s2");
     first.respondToFirst();
-    CHECK(runUntil([&] { return second.arrivals() == 1; }));
+    CHECK(vm.runUntil([&] { return second.arrivals() == 1; }));
     CHECK(first.arrivals() == 1);
 }
+
+TEST_CASE("a late second copy of a rejection does not answer the retry of the same request")
+{
+    const auto rejection = std::string("HTTP/1.1 421 M\r\nx-id: id\r\ncontent-length: 0\r\n\r\n");
+    const auto success = std::string("HTTP/1.1 200 OK\r\nx-id: id\r\ncontent-length: 0\r\n\r\n");
+    // The copy arrives when the connection is in use again; the server then runs the retry.
+    auto server = RawServer({{{RawAction::ReadRequest, {}},
+                              {RawAction::Send, rejection},
+                              {RawAction::ReadRequest, {}},
+                              {RawAction::Send, rejection},
+                              {RawAction::Hold, {}}},
+                             {{RawAction::ReadRequest, {}}, {RawAction::Send, success}},
+                             {{RawAction::ReadRequest, {}}, {RawAction::Send, success}}});
+    auto vm = OneVm(3);
+    vm.addServer("s1", server.address());
+    vm.call();
+    CHECK(vm.runUntil([&] { return vm.statuses.size() == 1; }));
+    CHECK(vm.statuses == std::vector<int>{200});
+    CHECK(server.requests().size() == 2); // the rejected one and the one that ran
+}
