--- a/tests/contract/key_controller_runner_test.cpp
+++ b/tests/contract/key_controller_runner_test.cpp
@@ -13,8 +13,7 @@
 {
 public:
     explicit ElectingStore(EventLoop &loop)
-        : m_loop(loop)
-        , m_timer(loop, [this] { runCallbacks(); })
+        : m_timer(loop, [this] { runCallbacks(); })
     {
         m_timer.startRepeating(milliseconds(2));
     }
@@ -35,11 +34,11 @@
     }
     auto leaveGroup(const GroupRequest & /*request*/) -> void
     { }
-    auto read(const ReadRequest & /*request*/, std::function<void(Settled<KeyedPage>)> /*callback*/)
-        -> void
+    auto read(const ReadRequest & /*request*/,
+              const std::function<void(Settled<KeyedPage>)> & /*callback*/) -> void
     { }
     auto readNewest(const NewestRequest & /*request*/,
-                    std::function<void(Settled<KeyedSnapshot>)> /*callback*/) -> void
+                    const std::function<void(Settled<KeyedSnapshot>)> & /*callback*/) -> void
     { }
 
     bool elects = true;
@@ -52,7 +51,6 @@
         }
     }
 
-    EventLoop &m_loop;
     Timer m_timer;
     std::vector<std::function<void()>> m_callbacks;
 };
