Wait for requests that arrive while a VM stops

During a planned stop, a caller whose request had just been accepted could see its connection closed without an answer, one of the failures that operators of similar systems reported.

Cause: 2.3 s after the signal the VM stops accepting connections, and ended its loop in the same step if no request was being handled. Connections in the listen backlog, and requests that were received in that step, were cut off.

Change: the loop ends when no request has been handled for 100 ms after the last connection was accepted; the end of the grace period bounds it as before.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -235,6 +235,8 @@
     static constexpr milliseconds shutdownMargin{700};
     /// Time in which their callers receive the responses.
     static constexpr milliseconds lastResponsesTime{200};
+    /// Time in which requests arrive that were under way when the last connection was accepted.
+    static constexpr milliseconds lastArrivalsTime{100};
     /// A period of failed reads counts as an outage if it is longer than this.
     static constexpr milliseconds minOutage{800};
 
@@ -517,12 +519,16 @@
         const auto timeToServe = m_settings.gracePeriod - shutdownMargin;
         if (elapsed > loadBalancerDelay && !std::exchange(m_drained, true)) {
             m_callerServer->drain();
+            m_busyAt = now;
             m_path.stopAt(m_leavingSince + timeToServe);
         }
         if (elapsed > timeToServe) {
             m_path.endAll();
         }
-        const auto done = m_drained && m_path.pending() == 0 && m_callerServer->pending() == 0;
+        if (!m_drained || m_path.pending() > 0 || m_callerServer->pending() > 0) {
+            m_busyAt = now;
+        }
+        const auto done = m_drained && now - m_busyAt >= lastArrivalsTime;
         if (done || elapsed > timeToServe + lastResponsesTime) {
             logEvent(LogLevel::Info, "stopped", {{"pending", m_path.pending()}});
             m_loop.stop();
@@ -565,6 +571,7 @@
     bool m_leaving = false;
     bool m_drained = false;
     TimePoint m_leavingSince;
+    TimePoint m_busyAt; ///< last time that the shutdown had to wait for a request
     Timer m_tickTimer;
     Timer m_heartbeatTimer;
     Timer m_workReportTimer;
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -2,6 +2,7 @@
 #include "platform_traits.h"
 #include "standins/platform_server.h"
 #include "standins/platform_store.h"
+#include "standins/raw_client.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -11,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace figlanding;
@@ -135,6 +137,10 @@
         runUntil([] { return false; }, span);
     }
 
+    [[nodiscard]] auto callers(std::size_t vm) const -> const SocketAddress &
+    {
+        return m_callers.at(vm);
+    }
     auto store() -> PlatformStore &
     {
         return m_store;
@@ -442,6 +448,22 @@
     CHECK(std::count(statuses.begin(), statuses.end(), 502) == 2);
 }
 
+TEST_CASE("a VM that stops answers a request that arrives at the moment of its stop")
+{
+    auto deployment = Deployment(1);
+    REQUIRE(deployment.serves(0, "/read/1"));
+    deployment.vm(0)->leave();
+    deployment.runFor(milliseconds(2200));
+    // The request arrives while the VM is held up, and the VM may stop as soon as it goes on.
+    std::this_thread::sleep_for(milliseconds(300));
+    auto caller = RawClient(deployment.callers(0).port);
+    caller.send("GET /read/1 HTTP/1.1\r\nhost: x.example\r\nx-request-id: last\r\n"
+                "x-credential: key\r\nx-deadline-ms: 1000\r\n\r\n");
+    deployment.runUntil([] { return false; }, milliseconds(2000)); // the VM ends the loop
+    deployment.vm(0).reset();
+    CHECK(caller.readAll(milliseconds(500)).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("a VM that the load balancer has removed refuses requests that it may not complete")
 {
     auto deployment = Deployment(1);
