Let VMs of very large fleets retry, and look a record up without changing the view

Looking for an own record after a conflict added an empty table to the view for a service without one.

Change: a budget holds one retry at least; the look-up searches.

--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -7,11 +7,13 @@
 
 namespace {
 
-// Returns whether a record with this fence is part of a table. No two records have the same fence.
-auto hasFence(const OwnershipTable &table, FencingToken fence) -> bool
+// Returns whether a record took effect. No two records have the same fence.
+auto hasRecord(const OwnershipView &view, const AppendTable &record) -> bool
 {
-    return std::any_of(table.ranges.begin(), table.ranges.end(),
-                       [&](const OwnedRange &range) { return range.fence == fence; });
+    const auto table = view.tables.find(record.service);
+    return table != view.tables.end()
+        && std::any_of(table->second.ranges.begin(), table->second.ranges.end(),
+                       [&](const OwnedRange &range) { return range.fence == record.fence; });
 }
 
 } // namespace
@@ -140,7 +142,7 @@
     // Only the holder of the claim changes owners. Other records, such as the address of a VM that
     // has started, leave what is known of the leases as it was.
     const auto *record = std::get_if<AppendTable>(&append);
-    if (record != nullptr && hasFence(m_view.tables[record->service], record->fence)) {
+    if (record != nullptr && hasRecord(m_view, *record)) {
         applyRecord(*record, now);
     }
 }
--- a/src/gateway/request_retries.cpp
+++ b/src/gateway/request_retries.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request_retries.h"
 
+#include <algorithm>
+
 namespace figlanding {
 
 namespace {
@@ -14,7 +16,8 @@
 
 auto RequestRetries::onRequest(const ServiceId &service, double fleetSize) -> void
 {
-    const auto reserve = m_options.reserve / fleetSize;
+    // A budget that cannot hold one retry would never allow any.
+    const auto reserve = std::max(1.0, m_options.reserve / fleetSize);
     m_budgets.try_emplace(service, m_options.ratio, reserve, retriesAtStart)
         .first->second.onRequest();
 }
--- a/tests/contract/request_retries_test.cpp
+++ b/tests/contract/request_retries_test.cpp
@@ -36,3 +36,8 @@
 {
     CHECK(retriesAfter(10'000, 100.0) == 3);
 }
+
+TEST_CASE("VMs of a fleet that is larger than the reserve still retry their share of the requests")
+{
+    CHECK(retriesAfter(100, 1000.0) == 1);
+}
