--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -246,7 +246,7 @@
     const auto decode = [](const EncodedRecord &record) {
         return valueOrElse(
             [&] { return decodeFleetRecord({.key = record.key, .value = record.value}); },
-            [](const Error &) { return FleetRecord(ControllerClaim{}); });
+            [](const Error &) { return FleetRecord(std::in_place_type<ControllerClaim>); });
     };
     CHECK(decode(encodeFleetRecord(table)) == FleetRecord(table));
     const auto member =
