--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,7 +26,6 @@
         if not self.fails or int(ident[1:]) % 100 >= FAILED_SHARE * 100:
             await super().answer(request, ident, echo)
             return
-        self.finished.add(ident)
         self.record.add(f"{self.id} has run {ident} and answers 503 without X-Not-Executed")
         request.writer.write(response_bytes(503, echo + [
             ("X-Upstream-Signature", f"sig.{self.id}.{ident}")], b"cannot confirm"))
