--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,7 @@
-"""An upstream fails a part of its unsafe requests: it has run them and answers 503 with its
-signature and without `X-Not-Executed`.
+"""Upstreams leave in turn, as in a rolling replacement, while one VM gets most of the requests.
 
-Rule REFUSED: a request that isn't idempotent isn't answered 429 or 503 if it has run.
+Rule DRAIN: no request reaches an upstream later than `Drain` after the store has accepted that the
+upstream is draining.
 """
 
 import asyncio
@@ -10,52 +10,83 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
-from fleet import Upstream, main, response_bytes, route, service  # noqa: E402
+from fleet import DRAIN_S, Upstream, main, route, service  # noqa: E402
 
-VMS = ["edge-sierra-a-1", "edge-sierra-b-1"]
-REQUESTS = 200
-FAILED_SHARE = 0.45  # of the requests at the upstream that is at fault: the site's srv_grey
+VMS = ["edge-sierra-a-1", "edge-sierra-b-1", "edge-sierra-c-1", "edge-sierra-a-2"]
+STAYS_S = 3.0  # how long an upstream serves on after `Drain`; the pages: "at times many seconds"
+BATCH = 8  # requests that a VM with little traffic gets at once
+BATCHES_S = [2.2, 3.5, 4.92]  # when the VMs with little traffic get them, after the report
+SERVERS = 3
 
 
-class GreyUpstream(Upstream):
-    """Its work is done when a later step fails; its health path stays good."""
+async def consume(deployment, vm, pause_s, stop, answers):
+    """The consumers at one VM send steadily."""
+    tasks = []
+    while not stop.is_set():
+        tasks.append(asyncio.create_task(deployment.send(vm, "POST", "/book/1")))
+        await asyncio.sleep(pause_s)
+    answers += await asyncio.gather(*tasks)
+
 
-    fails = False
+async def batch(deployment, vm, after_s, answers):
+    """The consumers at another VM send a few requests at once, and nothing before."""
+    await asyncio.sleep(after_s)
+    answers += await asyncio.gather(
+        *[deployment.send(vm, "POST", "/book/1") for _ in range(BATCH)])
 
-    async def answer(self, request, ident, echo):
-        if not self.fails or int(ident[1:]) % 100 >= FAILED_SHARE * 100:
-            await super().answer(request, ident, echo)
-            return
-        self.record.add(f"{self.id} has run {ident} and answers 503 without X-Not-Executed")
-        request.writer.write(response_bytes(503, echo + [
-            ("X-Upstream-Signature", f"sig.{self.id}.{ident}")], b"cannot confirm"))
+
+async def busiest_reader(deployment):
+    """Returns the VM that reads the servers' topic for the others."""
+    topic = "keyed.servers"
+    before = dict(deployment.store.reads)
+    await asyncio.sleep(4.0)
+    return max(VMS, key=lambda vm: deployment.store.reads.get((vm, topic), 0)
+               - before.get((vm, topic), 0))
 
 
 async def case(deployment, trouble):
     record, store = deployment.record, deployment.store
     await deployment.configure([service("reservas")],
                                [route("book", "/book/", "reservas", kind="unsafe")])
-    servers = []
-    for number in range(6):
-        servers.append(await deployment.add_upstream(
-            GreyUpstream(store, record, "reservas", f"i-reservas{number}", work_s=0.05)))
+    for number in range(SERVERS):
+        await deployment.add_upstream(
+            Upstream(store, record, "reservas", f"i-old{number}", work_s=0.12))
     if not await deployment.start_vms(VMS):
         return None
     await asyncio.sleep(3.0)
-    servers[0].fails = trouble
-    tasks = []
-    for number in range(REQUESTS):
-        tasks.append(asyncio.create_task(
-            deployment.send(VMS[number % len(VMS)], "POST", "/book/1", body=b"lesson")))
-        await asyncio.sleep(0.05)
-    answers = await asyncio.gather(*tasks)
-    broken = [answer for answer in answers if answer.status in (408, 421, 429, 503)
-              and any(answer.id in server.runs for server in servers)]
-    for answer in broken:
-        record.add(f"REFUSED: {answer.id} was answered {answer.status} and has run")
-    served = sum(answer.status == 200 for answer in answers)
-    record.add(f"{len(answers)} requests, {served} served, {len(broken)} refused that had run")
-    return not broken
+    reader = await busiest_reader(deployment)
+    record.add(f"{reader} reads the servers' topic; most consumers are at it")
+    stop, answers = asyncio.Event(), []
+    steady = asyncio.create_task(consume(deployment, reader, 0.04, stop, answers))
+    others = [vm for vm in VMS if vm != reader]
+    await asyncio.sleep(2.0)
+    accepted = {}
+    for number in range(SERVERS):
+        await deployment.add_upstream(
+            Upstream(store, record, "reservas", f"i-new{number}", work_s=0.12))
+        await asyncio.sleep(3.0)
+        old = deployment.upstreams[f"i-old{number}"]
+        if trouble:
+            await old.drain()
+            accepted[old.id] = record.now()
+        batches = [asyncio.create_task(batch(deployment, vm, after_s, answers))
+                   for vm, after_s in zip(others[number:] + others[:number], BATCHES_S)]
+        await asyncio.sleep(DRAIN_S + STAYS_S)
+        if trouble:
+            await old.exit()
+        await asyncio.gather(*batches)
+    stop.set()
+    await steady
+    late = [(name, ident, at - accepted[name]) for name in accepted
+            for at, ident in deployment.upstreams[name].arrivals if at - accepted[name] > DRAIN_S]
+    for name, ident, after in late:
+        record.add(f"DRAIN: {ident} reached {name} {after:.3f} s after its report was accepted")
+    lost = [answer for answer in answers if answer.status not in (200, 503, 429)]
+    for answer in lost:
+        record.add(f"{answer.id} answered {answer.status}, though no server failed")
+    record.add(f"{len(answers)} requests, {len(lost)} without 200, 429 or 503; "
+               f"{len(late)} reached a leaving upstream later than {DRAIN_S} s")
+    return not late
 
 
 main(case, FOLDER)
