--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,7 +16,8 @@
 STAYS_S = 3.0  # how long an upstream serves on after `Drain`; the pages: "at times many seconds"
 BATCH = 8  # requests that a VM with little traffic gets at once
 BATCHES_S = [2.2, 3.5, 4.92]  # when the VMs with little traffic get them, after the report
-SERVERS = 3
+SERVERS = 6
+REPLACED = 3  # a share of 0.5; the site's largest release is 0.557
 
 
 async def consume(deployment, vm, pause_s, stop, answers):
@@ -57,11 +58,11 @@
     reader = await busiest_reader(deployment)
     record.add(f"{reader} reads the servers' topic; most consumers are at it")
     stop, answers = asyncio.Event(), []
-    steady = asyncio.create_task(consume(deployment, reader, 0.04, stop, answers))
+    steady = asyncio.create_task(consume(deployment, reader, 0.016, stop, answers))
     others = [vm for vm in VMS if vm != reader]
     await asyncio.sleep(2.0)
     accepted = {}
-    for number in range(SERVERS):
+    for number in range(REPLACED):
         await deployment.add_upstream(
             Upstream(store, record, "reservas", f"i-new{number}", work_s=0.12))
         await asyncio.sleep(3.0)
