--- a/include/figlanding/gateway/server_registry.h
+++ b/include/figlanding/gateway/server_registry.h
@@ -34,7 +34,10 @@
 /// A server in the registry.
 struct RegisteredServer
 {
+    /// As announced. What this VM knows from elsewhere is kept apart: whether an announcement is
+    /// news for the other VMs depends on earlier announcements alone.
     ServerEntry entry;
+    bool leaving = false; ///< the server said so itself, in a response to this VM
     TimePoint firstSeenAt; ///< first announcement of this incarnation
     TimePoint coldUntil;
 
@@ -57,8 +60,8 @@
     /// Processes an announcement. Announcements of an older incarnation, or older ones of the same
     /// incarnation, are ignored.
     auto announce(const ServerEntry &entry, TimePoint now) -> void;
-    /// Records that a server said itself that it is leaving. It then counts as draining, whatever
-    /// the store says or cannot say.
+    /// Records that a server said itself that it is leaving. It then accepts no new requests,
+    /// whatever the store says or cannot say.
     /// @return whether that is news
     auto onLeaving(const ServerIncarnation &server) -> bool;
     /// Schedules the removal of a server whose entry was deleted. An announcement before @p due
@@ -86,8 +89,8 @@
     [[nodiscard]] auto ownerState(const ServerIncarnation &owner) const -> OwnerState;
     /// Returns when a server was removed; nothing if it never was, or is registered.
     [[nodiscard]] auto goneSince(const BackendServerId &id) const -> std::optional<TimePoint>;
-    /// Returns whether a server accepts new requests: it is not draining and its zone is not
-    /// evacuated.
+    /// Returns whether a server accepts new requests: it is neither draining nor leaving, and its
+    /// zone is not evacuated.
     [[nodiscard]] auto acceptsRequests(const RegisteredServer &server) const -> bool;
     [[nodiscard]] auto evacuatedZones() const -> const std::set<AvailabilityZoneId> &
     {
--- a/src/core/gateway/server_registry.cpp
+++ b/src/core/gateway/server_registry.cpp
@@ -32,6 +32,7 @@
     const auto wasDraining = !newIncarnation && known.draining;
     server.entry = entry;
     server.entry.draining = entry.draining || wasDraining; // draining is final for an incarnation
+    server.leaving = !newIncarnation && server.leaving;
     server.firstSeenAt = newIncarnation ? now : server.firstSeenAt;
     server.coldUntil = now + entry.coldRemaining;
 }
@@ -42,7 +43,9 @@
     if (found == m_servers.end() || found->second.entry.startedUnixMs != server.startedUnixMs) {
         return false;
     }
-    return !std::exchange(found->second.entry.draining, true);
+    const auto isNews = !found->second.leaving && !found->second.entry.draining;
+    found->second.leaving = true;
+    return isNews;
 }
 
 auto ServerRegistry::remove(const BackendServerId &id, TimePoint due) -> void
@@ -101,7 +104,7 @@
 
 auto ServerRegistry::acceptsRequests(const RegisteredServer &server) const -> bool
 {
-    return !server.entry.draining && !m_evacuated.contains(server.entry.zone);
+    return !server.entry.draining && !server.leaving && !m_evacuated.contains(server.entry.zone);
 }
 
 } // namespace figlanding
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -118,7 +118,9 @@
     }
 
     /// Applies a server's entry, or its removal if the record has no value.
-    /// @return whether anything but the sequence number of the entry changed
+    /// @return whether other VMs must have the record as well: it changes more than the sequence
+    /// number of the entry. What this VM knows from other sources does not count, since the others
+    /// may lack it.
     auto onServerRecord(const KeyedRecord &record) -> bool
     {
         const auto now = m_loop.now();
--- /dev/null
+++ b/tests/contract/store_view_test.cpp
@@ -0,0 +1,90 @@
+#include "gateway/store_view.h"
+#include "platform_traits.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace figlanding;
+
+namespace {
+
+const auto server = ServerIncarnation{.server = BackendServerId("s"), .startedUnixMs = 10};
+
+struct EntryFields
+{
+    std::string state = "ready";
+    std::string service = "rooms";
+    std::string address = "10.0.0.1:80";
+    std::int64_t born = server.startedUnixMs;
+    int sequence = 1;
+};
+
+// A record with the server's id; by default as the server writes it itself.
+auto entry(const EntryFields &fields) -> KeyedRecord
+{
+    const auto value = nlohmann::json{
+        {"Service", fields.service}, {"Address", fields.address},   {"Zone", "a"},
+        {"Version", "v1"},           {"MaxConcurrency", 2},         {"State", fields.state},
+        {"WarmupRemaining", "0ms"},  {"Sequence", fields.sequence}, {"born", fields.born}};
+    return {.offset = static_cast<LogOffset>(fields.sequence),
+            .key = server.server.value(),
+            .value = value.dump()};
+}
+
+// A view with a configuration that has the services.
+struct View
+{
+    explicit View(const std::vector<std::string> &services = {"rooms"})
+    {
+        configure(1, services);
+    }
+    auto configure(int version, const std::vector<std::string> &services) -> void
+    {
+        auto list = nlohmann::json::array();
+        for (const auto &name : services) {
+            list.push_back({{"Name", name}});
+        }
+        const auto state =
+            nlohmann::json{{"Version", std::string("r").append(std::to_string(version))},
+                           {"Routes", nlohmann::json::array()},
+                           {"Services", list}};
+        store.onOperatorRecord({.offset = 1, .key = "config", .value = state.dump()});
+    }
+    // Returns the server as the view has it, or an empty entry.
+    auto known() -> ServerEntry
+    {
+        const auto *found = store.registry().find(server.server);
+        return found == nullptr ? ServerEntry{} : found->entry;
+    }
+
+    EventLoop loop;
+    StoreView<platform::PlatformTraits> store{
+        loop, {.onMember = [](const auto &) {}, .onOwnership = [](const auto &) {}}};
+};
+
+} // namespace
+
+// Guards against a draining record that the VM that reads the store does not pass on.
+TEST_CASE("a draining record is news for other VMs although the server has told this one")
+{
+    auto view = View();
+    CHECK(view.store.onServerRecord(entry({.sequence = 1})));
+    view.store.onServerLeaving(server);
+    CHECK_FALSE(view.store.onServerRecord(entry({.sequence = 2})));
+    CHECK(view.store.onServerRecord(entry({.state = "draining", .sequence = 3})));
+    CHECK_FALSE(view.store.onServerRecord(entry({.state = "draining", .sequence = 4})));
+}
+
+TEST_CASE("a server that says that it is leaving gets no requests, whatever its next entry says")
+{
+    auto view = View();
+    view.store.onServerRecord(entry({.sequence = 1}));
+    view.store.onServerLeaving(server);
+    view.store.onServerRecord(entry({.sequence = 2}));
+    const auto *found = view.store.registry().find(server.server);
+    REQUIRE(found != nullptr);
+    CHECK_FALSE(view.store.registry().acceptsRequests(*found));
+}
