--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -94,7 +94,7 @@
     , startedAt(loop.now())
     , metrics(settings.vm)
     , platformClient(loop, {})
-    , serverClient(loop, {.resetsUnanswered = true})
+    , serverClient(loop, {})
     , logService(platformClient, settings.log.address, settings.log.timeout)
     , freshness({.self = settings.vm,
                  .incarnation = incarnation,
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -339,7 +339,7 @@
 auto HttpClient::Impl::onCloseSocket(void *self, curl_socket_t fd) -> int
 {
     auto *impl = static_cast<Impl *>(self);
-    if (impl->options.resetsUnanswered && impl->registry.unanswered(fd)) {
+    if (impl->registry.unanswered(fd)) {
         resetOnClose(fd);
     }
     impl->registry.remove(fd);
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -73,16 +73,16 @@
     /// The smallest VMs have 160 MB.
     std::size_t maxBufferedBytes = std::size_t{48} * 1024 * 1024;
     milliseconds tcpUserTimeout{5000}; ///< TCP_USER_TIMEOUT: closes if data stays unacknowledged
-    /// Resets the connection of a call that ends before a byte of the response, by timeout or by
-    /// cancel(). The system then stops delivering the request; after a normal close, a server that
-    /// was cut off may get it long after the call has ended.
-    bool resetsUnanswered = false;
     /// Accepts responses whose body is delimited by the end of the connection. A connection reset
     /// still fails the call.
     bool acceptsCloseDelimited = false;
 };
 
-/// Sends requests. A response whose body is shorter or longer than its framing states is a failure.
+/// Sends requests. The connection of a call that ends before a byte of the response, by timeout, by
+/// cancel() or with the client, is reset. The system then stops delivering the request; after a
+/// normal close, a server that was cut off may get it long after the call has ended.
+///
+/// A response whose body is shorter or longer than its framing states is a failure.
 /// A response that exceeds a limit fails the call with LimitExceeded and closes the connection; so
 /// does one whose chunk framing is far larger than its content.
 class HttpClient
