--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -43,6 +43,9 @@
     /// A response without the header is accepted. One with another value belongs to another
     /// request: the call fails with ProtocolViolation and the connection is closed.
     std::optional<std::pair<std::string, std::string>> correlationHeader = std::nullopt;
+    /// Returns whether the head of a final response can be one to this request, for protocols whose
+    /// responses carry no id. Others fail the call as above. Must not use the client; may be empty.
+    std::function<bool(const HttpResponse &)> canAnswer = {};
 };
 
 /// Result of one call.
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -323,6 +323,10 @@
     if (m_response.status == statusSwitchingProtocols) {
         return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer changes the protocol"};
     }
+    if (m_response.status >= statusFirstFinal && m_options.canAnswer
+        && !m_options.canAnswer(m_response)) {
+        return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer to another request"};
+    }
     if (m_response.status < statusFirstFinal || hasNoBody()) {
         return std::nullopt;
     }
--- a/tests/contract/key_lease_client_test.cpp
+++ b/tests/contract/key_lease_client_test.cpp
@@ -73,6 +73,28 @@
     std::string m_token;
 };
 
+auto read() -> RawStep
+{
+    return {.action = RawAction::ReadRequest, .text = {}};
+}
+
+auto send(const std::string &text) -> RawStep
+{
+    return {.action = RawAction::Send, .text = text};
+}
+
+auto hold() -> RawStep
+{
+    return {.action = RawAction::Hold, .text = {}};
+}
+
+const auto granted = std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+
+auto released(const std::string &token) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nX-Lease-Handover: " + token + "\r\nContent-Length: 0\r\n\r\n";
+}
+
 } // namespace
 
 // Guards against a grant that takes effect when another server has the keys.
@@ -83,3 +105,41 @@
     CHECK(calls.runUntil([&] { return calls.server().readToEnd() == 1; }));
     CHECK(calls.server().resets() == 1);
 }
+
+// Guards against keys that go to another server while their owner works on them.
+TEST_CASE("a late second copy of the response to a grant does not release keys")
+{
+    auto calls = LeaseCalls({{read(), send(granted), read(), send(granted), hold()},
+                             {read(), send(released("token"))}});
+    CHECK(calls.grant() == CommandOutcome::Accepted);
+    CHECK(calls.release() == CommandOutcome::Accepted);
+    CHECK(calls.token() == "token");
+}
+
+TEST_CASE("a late second copy of the response to a release does not release other keys")
+{
+    auto calls = LeaseCalls({{read(), send(released("a")), read(), send(released("a")), hold()},
+                             {read(), send(released("b"))}});
+    CHECK(calls.release() == CommandOutcome::Accepted);
+    CHECK(calls.release() == CommandOutcome::Accepted);
+    CHECK(calls.token() == "b");
+}
+
+TEST_CASE("a response that a server does not give to a release frees no keys")
+{
+    for (const auto *status : {"200 OK", "409 Conflict"}) {
+        const auto response =
+            std::string("HTTP/1.1 ").append(status).append("\r\nContent-Length: 0\r\n\r\n");
+        auto calls = LeaseCalls({{read(), send(response), hold()}});
+        CHECK(calls.release() == CommandOutcome::Lost);
+    }
+}
+
+TEST_CASE("a late second copy of the response to a release is not taken for a granted lease")
+{
+    auto calls = LeaseCalls({{read(), send(released("a")), read(), send(released("a")), hold()},
+                             {read(), send(granted)}});
+    CHECK(calls.release() == CommandOutcome::Accepted);
+    CHECK(calls.grant() == CommandOutcome::Lost);
+    CHECK(calls.grant() == CommandOutcome::Accepted); // on another connection
+}
