--- a/include/figlanding/gateway/caller_protocol.h
+++ b/include/figlanding/gateway/caller_protocol.h
@@ -79,6 +79,10 @@
     {
         Type::refusal(refusal, id)
         } -> std::same_as<HttpResponse>;
+    /// Whether the status of a response promises callers that the request has not run.
+    {
+        Type::promisesNotRun(response)
+        } -> std::same_as<bool>;
     /// Name and value of the header that identifies the request in the server's response.
     {
         Type::idHeader(id)
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -394,7 +394,8 @@
     }
 
     // Retries a server error if the request is idempotent and the retry budget allows it; otherwise
-    // returns it to the caller.
+    // returns it to the caller. A status that promises that the request has not run would make the
+    // caller send it again, so it is not returned if the request must run at most once.
     auto onServerFailure(std::uint64_t number, HttpResponse response) -> void
     {
         auto &active = m_requests.at(number);
@@ -406,6 +407,13 @@
             retry(active);
             return;
         }
+        if (active.route->repeatability == Repeatability::AtMostOnce
+            && Protocol::promisesNotRun(response)) {
+            active.record.detail =
+                "server ran the request and failed with status " + std::to_string(response.status);
+            refuse(number, refusalAfterFailure(Verdict::Ran));
+            return;
+        }
         respond(number, std::move(response));
     }
 
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -60,6 +60,32 @@
     }
 }
 
+// Guards against a booking that a caller sends again because it is told that it has not run.
+TEST_CASE("a status that promises that a request has not run is not passed on when it may have")
+{
+    auto deployment = GatewayDeployment(1);
+    REQUIRE(deployment.serves(0, "/read/1"));
+    for (const auto status : {408, 429, 503}) {
+        CAPTURE(status);
+        for (const auto index : {2U, 3U}) {
+            deployment.server(index).options().fails = true;
+            deployment.server(index).options().failureStatus = status;
+        }
+        const auto id = std::to_string(status);
+        const auto outcome = deployment.send(0, deployment.request("POST", "/book/1", id));
+        CHECK(outcome.response.status == 502);
+        CHECK_FALSE(outcome.response.headers.find("x-upstream-signature"));
+        CHECK_FALSE(outcome.response.headers.find("retry-after"));
+        CHECK(deployment.server(2).runs().count(id) + deployment.server(3).runs().count(id) == 1);
+    }
+    // The server's own status is passed on where it promises nothing.
+    deployment.server(2).options().failureStatus = deployment.server(3).options().failureStatus =
+        500;
+    const auto outcome = deployment.send(0, deployment.request("POST", "/book/1", "plain"));
+    CHECK(outcome.response.status == 500);
+    CHECK(outcome.response.headers.find("x-upstream-signature") == "digest");
+}
+
 TEST_CASE("an idempotent request is retried at another server after a failure")
 {
     auto deployment = GatewayDeployment(1);
--- a/tests/contract/request_path_test.cpp
+++ b/tests/contract/request_path_test.cpp
@@ -32,6 +32,10 @@
     {
         return {.kind = response.status == 421 ? ResponseKind::WrongServer : ResponseKind::Success};
     }
+    static auto promisesNotRun(const HttpResponse &response) -> bool
+    {
+        return response.status == 503;
+    }
     static auto callerResponse(HttpResponse response) -> HttpResponse
     {
         return response;
--- a/tests/standins/platform_server.cpp
+++ b/tests/standins/platform_server.cpp
@@ -130,7 +130,6 @@
 {
     constexpr auto misdirected = 421;
     constexpr auto unavailable = 503;
-    constexpr auto failed = 500;
     const auto &request = exchange.request();
     const auto id = headerOf(request, "x-request-id");
     const auto key = headerOf(request, "x-shard-key");
@@ -155,7 +154,7 @@
     m_running += 1;
     m_peakConcurrency = std::max(m_peakConcurrency, m_running);
     const auto responseId = m_options.returnsWrongRequestId ? std::string("another") : id;
-    auto response = HttpResponse{.status = m_options.fails ? failed : 200,
+    auto response = HttpResponse{.status = m_options.fails ? m_options.failureStatus : 200,
                                  .headers = {{"x-request-id", responseId},
                                              {"x-upstream-signature", "digest"},
                                              {"x-upstream-load", "1,0,2,100"}},
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -22,7 +22,8 @@
     bool keyed = false; ///< rejects requests for keys that the server does not own
     milliseconds work{20}; ///< duration of a request
     bool sheds = false; ///< responds with 503 without running the request
-    bool fails = false; ///< runs the request and responds with 500
+    bool fails = false; ///< runs the request and responds with failureStatus
+    int failureStatus = 500;
     bool returnsWrongRequestId = false; ///< responds with the id of another request
     std::string retryAfter; ///< seconds, in the responses with which it sheds; empty: none
     bool leaving = false; ///< says in its responses that it is leaving
