--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -126,6 +127,7 @@
         const auto now = m_loop.now();
         const auto id = BackendServerId(record.key);
         if (!record.value) {
+            m_setAside.erase(id);
             removeServer(id, now);
             return true;
         }
@@ -137,23 +139,11 @@
             return false;
         }
         const auto &entry = decoded.value();
-        const auto *previous = m_registry.find(id);
-        const auto isNew =
-            previous == nullptr || previous->entry.startedUnixMs != entry.startedUnixMs;
-        const auto startsDraining = entry.draining && (isNew || !previous->entry.draining);
-        const auto changed = isNew || startsDraining || previous->entry.address != entry.address
-            || previous->entry.slots != entry.slots || previous->coldUntil > now
-            || entry.coldRemaining > milliseconds(0) || m_registry.isToBeRemoved(id);
-        m_registry.announce(entry, now);
-        m_serversChanged = m_serversChanged || changed;
-        if (isNew || startsDraining) {
-            logEvent(LogLevel::Info, "server",
-                     {{"server", record.key},
-                      {"service", entry.service.value()},
-                      {"born", entry.startedUnixMs},
-                      {"draining", entry.draining}});
+        if (!m_state || m_state->findService(entry.service) == nullptr) {
+            return setAside(entry);
         }
-        return changed;
+        m_setAside.erase(id);
+        return announce(entry, now);
     }
 
     /// Records that a server said itself that it is leaving.
@@ -178,6 +168,7 @@
                 removed.push_back(id);
             }
         }
+        m_setAside.clear();
         for (const auto &id : removed) {
             removeServer(id, m_loop.now());
         }
@@ -232,6 +223,57 @@
                   {"teams", state.teams.size()}});
         m_state = std::make_shared<const DesiredStateIndex>(state);
         m_serversChanged = true;
+        announceConfigured();
+    }
+
+    // Returns whether more than the sequence number of the entry is news.
+    auto announce(const ServerEntry &entry, TimePoint now) -> bool
+    {
+        const auto *previous = m_registry.find(entry.id);
+        const auto isNew =
+            previous == nullptr || previous->entry.startedUnixMs != entry.startedUnixMs;
+        const auto startsDraining = entry.draining && (isNew || !previous->entry.draining);
+        const auto changed = isNew || startsDraining || previous->entry.address != entry.address
+            || previous->entry.slots != entry.slots || previous->coldUntil > now
+            || entry.coldRemaining > milliseconds(0) || m_registry.isToBeRemoved(entry.id);
+        m_registry.announce(entry, now);
+        m_serversChanged = m_serversChanged || changed;
+        if (isNew || startsDraining) {
+            logEvent(LogLevel::Info, "server",
+                     {{"server", entry.id.value()},
+                      {"service", entry.service.value()},
+                      {"born", entry.startedUnixMs},
+                      {"draining", entry.draining}});
+        }
+        return changed;
+    }
+
+    // Keeps an entry whose service is not configured. It names no server, as it may come from
+    // another writer, but the configuration may also be late. Returns whether it is news: another
+    // VM may have that configuration.
+    auto setAside(const ServerEntry &entry) -> bool
+    {
+        auto before = std::exchange(m_setAside[entry.id], entry);
+        if (before.startedUnixMs != entry.startedUnixMs || before.service != entry.service) {
+            logEvent(LogLevel::Info, "server-of-unknown-service",
+                     {{"server", entry.id.value()},
+                      {"service", entry.service.value()},
+                      {"address", toText(entry.address)},
+                      {"born", entry.startedUnixMs}});
+        }
+        before.sequence = entry.sequence;
+        return before != entry;
+    }
+
+    auto announceConfigured() -> void
+    {
+        std::erase_if(m_setAside, [this](const auto &item) {
+            const auto configured = m_state->findService(item.second.service) != nullptr;
+            if (configured) {
+                announce(item.second, m_loop.now());
+            }
+            return configured;
+        });
     }
 
     auto removeServer(const BackendServerId &id, TimePoint now) -> void
@@ -285,6 +327,7 @@
     StoreViewHandlers m_handlers;
     std::shared_ptr<const DesiredStateIndex> m_state;
     ServerRegistry m_registry;
+    std::map<BackendServerId, ServerEntry> m_setAside; ///< of services that are not configured
     bool m_serversKnown = false;
     bool m_serversChanged = false;
     Outage m_serversOutage;
--- a/tests/contract/store_view_test.cpp
+++ b/tests/contract/store_view_test.cpp
@@ -88,3 +88,43 @@
     REQUIRE(found != nullptr);
     CHECK_FALSE(view.store.registry().acceptsRequests(*found));
 }
+
+// Guards against keys that are taken from a live server because of another writer's entry.
+TEST_CASE("an entry of a service that is not configured does not displace a live server")
+{
+    auto view = View();
+    view.store.onServerRecord(entry({.sequence = 5}));
+    const auto foreign =
+        EntryFields{.service = "nowhere", .address = "10.0.0.9:80", .born = 99, .sequence = 1};
+    view.store.onServerRecord(entry(foreign));
+    CHECK(view.store.registry().ownerState(server) == OwnerState::Usable);
+    CHECK(view.known().address == SocketAddress{"10.0.0.1", 80});
+    view.store.onServerRecord(entry({.sequence = 6}));
+    CHECK(view.known().sequence == 6);
+    view.store.onServerSnapshot({entry(foreign)});
+    CHECK(view.store.registry().ownerState(server) == OwnerState::Usable);
+    // The server itself starts anew, before the time that the other writer stated.
+    view.store.onServerRecord(entry({.born = 50, .sequence = 1}));
+    CHECK(view.store.registry().ownerState(server) == OwnerState::Restarted);
+}
+
+// Guards against a new service whose servers stay unknown to VMs that read its configuration late.
+TEST_CASE("a server of a service that is configured only later is known from then on")
+{
+    auto view = View();
+    CHECK(view.store.onServerRecord(entry({.service = "new", .sequence = 1})));
+    CHECK_FALSE(view.store.onServerRecord(entry({.service = "new", .sequence = 2})));
+    CHECK(view.known() == ServerEntry{});
+    view.configure(2, {"rooms", "new"});
+    CHECK(view.known().service == ServiceId("new"));
+    CHECK(view.known().sequence == 2);
+}
+
+TEST_CASE("a server that left before its service was configured stays unknown")
+{
+    auto view = View();
+    view.store.onServerRecord(entry({.service = "new", .sequence = 1}));
+    view.store.onServerRecord({.offset = 2, .key = server.server.value(), .value = std::nullopt});
+    view.configure(2, {"rooms", "new"});
+    CHECK(view.known() == ServerEntry{});
+}
