Do not log servers of unknown services before there is a configuration

Cause: a VM that starts may read the servers' topic first; every server then counts as one of an unknown service, and each would be logged twice, up to 659 lines on the VMs with a tenth of a core. Change: the line is written only once a configuration is known. The entries are set aside as before. Measured: not measured; no check depends on the line.

--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -254,7 +254,9 @@
     auto setAside(const ServerEntry &entry) -> bool
     {
         auto before = std::exchange(m_setAside[entry.id], entry);
-        if (before.startedUnixMs != entry.startedUnixMs || before.service != entry.service) {
+        const auto isNew =
+            before.startedUnixMs != entry.startedUnixMs || before.service != entry.service;
+        if (m_state && isNew) { // until there is a configuration, no service is known
             logEvent(LogLevel::Info, "server-of-unknown-service",
                      {{"server", entry.id.value()},
                       {"service", entry.service.value()},
