--- a/tests/contract/gateway_deployment.cpp
+++ b/tests/contract/gateway_deployment.cpp
@@ -1,5 +1,7 @@
 #include "gateway_deployment.h"
 
+#include "run_until.h"
+
 #include <doctest/doctest.h>
 
 #include <utility>
@@ -27,15 +29,7 @@
 
 auto GatewayDeployment::runUntil(const std::function<bool()> &condition, milliseconds limit) -> bool
 {
-    const auto end = m_loop.now() + limit;
-    auto timer = Timer(m_loop, [&] {
-        if (condition() || m_loop.now() >= end) {
-            m_loop.stop();
-        }
-    });
-    timer.startRepeating(milliseconds(5));
-    m_loop.run();
-    return condition();
+    return testing::runUntil(m_loop, condition, limit);
 }
 
 auto GatewayDeployment::send(std::size_t vm, HttpRequest request) -> HttpOutcome
--- a/tests/contract/key_lease_client_test.cpp
+++ b/tests/contract/key_lease_client_test.cpp
@@ -1,5 +1,6 @@
 #include "key_lease_client.h"
 #include "raw_server.h"
+#include "run_until.h"
 
 #include <doctest/doctest.h>
 
@@ -46,15 +47,7 @@
     }
     auto runUntil(const std::function<bool()> &condition) -> bool
     {
-        const auto end = m_loop.now() + milliseconds(5000);
-        auto timer = Timer(m_loop, [&] {
-            if (condition() || m_loop.now() >= end) {
-                m_loop.stop();
-            }
-        });
-        timer.startRepeating(milliseconds(1));
-        m_loop.run();
-        return condition();
+        return figlanding::testing::runUntil(m_loop, condition, milliseconds(5000));
     }
     auto server() -> RawServer &
     {
--- a/tests/contract/platform_streams_test.cpp
+++ b/tests/contract/platform_streams_test.cpp
@@ -1,5 +1,6 @@
 #include "key_lease_client.h"
 #include "raw_server.h"
+#include "run_until.h"
 #include "store_client.h"
 
 #include <doctest/doctest.h>
@@ -57,14 +58,8 @@
 template <typename Value>
 auto await(EventLoop &loop, std::optional<Value> &result) -> void
 {
-    const auto end = loop.now() + milliseconds(10'000);
-    auto timer = Timer(loop, [&] {
-        if (result || loop.now() >= end) {
-            loop.stop();
-        }
-    });
-    timer.startRepeating(milliseconds(1));
-    loop.run();
+    runUntil(
+        loop, [&] { return result.has_value(); }, milliseconds(10'000));
 }
 
 } // namespace
--- a/tests/contract/request_path_test.cpp
+++ b/tests/contract/request_path_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_path.h"
 #include "raw_server.h"
+#include "run_until.h"
 
 #include <doctest/doctest.h>
 
@@ -130,15 +131,7 @@
     }
     auto runUntil(const std::function<bool()> &condition) -> bool
     {
-        const auto end = loop.now() + seconds(2);
-        auto check = Timer(loop, [&] {
-            if (condition() || loop.now() >= end) {
-                loop.stop();
-            }
-        });
-        check.startRepeating(milliseconds(2));
-        loop.run();
-        return condition();
+        return figlanding::testing::runUntil(loop, condition, seconds(2));
     }
 
     EventLoop loop;
--- a/tests/contract/slow_link_test.cpp
+++ b/tests/contract/slow_link_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/topic_follower.h"
+#include "run_until.h"
 #include "standins/fault_proxy.h"
 #include "standins/platform_store.h"
 #include "store_client.h"
@@ -57,13 +58,7 @@
     auto timeUntil(const std::function<bool()> &condition, milliseconds limit) -> Duration
     {
         const auto start = loop.now();
-        auto timer = Timer(loop, [&] {
-            if (condition() || loop.now() - start >= limit) {
-                loop.stop();
-            }
-        });
-        timer.startRepeating(milliseconds(1));
-        loop.run();
+        figlanding::testing::runUntil(loop, condition, limit);
         return loop.now() - start;
     }
 
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/topic_follower.h"
+#include "run_until.h"
 
 #include <doctest/doctest.h>
 
@@ -102,15 +103,7 @@
     // Runs the loop until a condition holds, or for at most @p limit.
     auto runUntil(const std::function<bool()> &condition, milliseconds limit) -> bool
     {
-        const auto end = loop.now() + limit;
-        auto timer = Timer(loop, [&] {
-            if (condition() || loop.now() >= end) {
-                loop.stop();
-            }
-        });
-        timer.startRepeating(milliseconds(1));
-        loop.run();
-        return condition();
+        return figlanding::testing::runUntil(loop, condition, limit);
     }
     auto fail(ErrorCode code) -> void
     {
