Accept all waiting connections before a draining server closes its listener

Callers whose connection was completed but not accepted when a VM stopped as planned got a reset instead of an answer.

Cause: libmicrohttpd accepts about ten connections in each run; the server closed its listener after one.

Change: libmicrohttpd runs until nothing waits at the listener, a bounded number of times, before the listener is closed.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -3,6 +3,7 @@
 #include "io/http_server_request.h"
 #include "io/socket.h"
 
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -41,6 +42,7 @@
     auto runDaemon() -> void;
     auto scheduleRun() -> void;
     auto drain() -> void;
+    auto acceptBacklog() -> void;
 
     auto receive(ReceivedRequest &request, const char *data, std::size_t *size) -> MHD_Result;
     auto begin(ReceivedRequest &request) -> MHD_Result;
@@ -135,7 +137,8 @@
     }
     MHD_run(daemon);
     if (draining && !quiesced) {
-        quiesced = true; // MHD_run() has accepted the connections of the listen backlog
+        quiesced = true;
+        acceptBacklog();
         FileDescriptor(MHD_quiesce_daemon(daemon)).close();
     }
     if (runScheduled) {
@@ -150,6 +153,18 @@
     }
 }
 
+/// Accepts the connections that wait in the listen backlog; closing the listener would reset them.
+/// libmicrohttpd accepts only some of them in each run.
+auto HttpServer::Impl::acceptBacklog() -> void
+{
+    constexpr auto maxRuns = 128; // at the connection limit no run accepts any
+    const auto *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    auto listener = pollfd{.fd = info->listen_fd, .events = POLLIN, .revents = 0};
+    for (auto runs = 0; runs<maxRuns && ::poll(&listener, 1, 0)> 0; ++runs) {
+        MHD_run(daemon);
+    }
+}
+
 /// Schedules runDaemon(). Without an internal thread, libmicrohttpd does not signal its epoll
 /// descriptor when a connection is resumed.
 auto HttpServer::Impl::scheduleRun() -> void
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -1,4 +1,5 @@
 #include "io/http_server.h"
+#include "run_until.h"
 #include "standins/process.h"
 #include "standins/raw_client.h"
 
@@ -6,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <deque>
 #include <thread>
 #include <vector>
 
@@ -254,6 +256,33 @@
     CHECK(late.readAll(noResponseDelay).empty());
 }
 
+// Guards against a planned stop that cuts off requests which have just arrived.
+TEST_CASE("requests on connections that wait to be accepted when a server drains are answered")
+{
+    constexpr auto waiting = 60;
+    auto loop = EventLoop();
+    const auto server = valueOrElse(
+        [&] {
+            return HttpServer::listen(
+                loop, {.address = {.ip = "127.0.0.1"}},
+                [](HttpExchange exchange) { exchange.respond({.status = 200}); });
+        },
+        [](const Error &) { return std::unique_ptr<HttpServer>(); });
+    REQUIRE(server);
+    auto callers = std::deque<RawClient>{};
+    for (auto i = 0; i < waiting; ++i) {
+        callers.emplace_back(server->port()).send("GET /a HTTP/1.1\r\nhost: h\r\n\r\n");
+    }
+    server->drain();
+    (void)figlanding::testing::runUntil(
+        loop, [] { return false; }, milliseconds(300));
+    auto answered = 0;
+    for (auto &caller : callers) {
+        answered += caller.readAll(milliseconds(20)).starts_with("HTTP/1.1 200") ? 1 : 0;
+    }
+    CHECK(answered == waiting);
+}
+
 TEST_CASE("destroying a server with pending requests does not run onAbandoned")
 {
     auto server = std::make_unique<ServerThread>();
