--- a/include/figlanding/http_message.h
+++ b/include/figlanding/http_message.h
@@ -49,12 +49,23 @@
     auto operator==(const HttpRequest &) const -> bool = default;
 };
 
+/// How the recipient of a response finds the end of its body.
+enum class BodyEnd {
+    Length, ///< stated in advance; also for responses without a body
+    LastChunk, ///< marked by the sender
+    ConnectionEnd, ///< the end of the connection, which looks the same if the sender was cut off
+};
+
+/// Returns "length", "last-chunk" or "connection-end".
+[[nodiscard]] auto toText(BodyEnd end) -> std::string_view;
+
 /// An HTTP response.
 struct HttpResponse
 {
     int status = 200;
     HttpHeaders headers;
     std::string body;
+    BodyEnd bodyEnd = BodyEnd::Length;
 
     auto operator==(const HttpResponse &) const -> bool = default;
 };
--- a/src/core/http_message.cpp
+++ b/src/core/http_message.cpp
@@ -81,6 +81,19 @@
     return std::string_view(found->second);
 }
 
+auto toText(BodyEnd end) -> std::string_view
+{
+    switch (end) {
+    case BodyEnd::Length:
+        return "length";
+    case BodyEnd::LastChunk:
+        return "last-chunk";
+    case BodyEnd::ConnectionEnd:
+        return "connection-end";
+    }
+    return "length";
+}
+
 auto pathOf(std::string_view target) -> std::string_view
 {
     return target.substr(0, target.find('?'));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,8 +61,12 @@
         , m_slotLog(m_metrics, m_incarnation)
         , m_unservedLog(m_metrics)
         , m_storeClient(loop, {.tcpUserTimeout = storeTcpUserTimeout})
-        , m_serverClient(loop,
-                         {.tcpUserTimeout = serverTcpUserTimeout, .acceptsCloseDelimited = true})
+        , m_serverClient(
+              loop,
+              {.tcpUserTimeout = serverTcpUserTimeout,
+               .acceptsCloseDelimited = true,
+               .onUnexpectedInput =
+                   [this](const auto &server) { m_requestLog.addUnexpectedInput(server); }})
         , m_commandClient(loop, {.tcpUserTimeout = serverTcpUserTimeout})
         , m_store(m_storeClient, m_settings.store)
         , m_commandSender(m_commandClient)
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -28,7 +28,13 @@
     if (record.refusal) {
         m_metrics.countRefusal(*record.refusal);
     }
-    const auto ordinary = !record.refusal && record.attempts <= 1 && record.detail.empty();
+    if (record.bodyEnd) {
+        m_metrics.countResponse(*record.bodyEnd);
+    }
+    // A caller that got less than the server meant to send asks for such a response later.
+    const auto unmarkedEnd = record.bodyEnd == BodyEnd::ConnectionEnd;
+    const auto ordinary =
+        !record.refusal && record.attempts <= 1 && record.detail.empty() && !unmarkedEnd;
     if (ordinary && m_ordinaryRequests++ % sampleInterval != 0) {
         return;
     }
@@ -37,6 +43,7 @@
               {"status", record.status},
               {"verdict", toText(record.verdict)},
               {"reason", record.refusal ? toText(*record.refusal) : std::string_view("answered")},
+              {"body_end", record.bodyEnd ? toText(*record.bodyEnd) : std::string_view()},
               {"detail", record.detail},
               {"route", record.route.value()},
               {"team", record.team.value()},
@@ -48,6 +55,12 @@
               {"config", record.configVersion}});
 }
 
+auto RequestLog::addUnexpectedInput(const SocketAddress &server) -> void
+{
+    m_metrics.countUnexpectedInput();
+    logEvent(LogLevel::Warning, "unexpected-input", {{"address", toText(server)}});
+}
+
 auto RequestLog::metricsResponse() const -> HttpResponse
 {
     return {
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/http_message.h"
+#include "figlanding/objects.h"
 #include "gateway/request_record.h"
 #include "io/metrics.h"
 
@@ -12,7 +13,7 @@
 namespace figlanding {
 
 /// Counts every request in the metrics. Logs each request that was refused, retried or has a
-/// detail, and a sample of the ordinary ones.
+/// detail or a response that ended with its connection, and a sample of the ordinary ones.
 class RequestLog
 {
 public:
@@ -21,6 +22,8 @@
 
     /// Adds a completed request.
     auto add(const RequestRecord &record) -> void;
+    /// Adds input that a server sent on a connection that no request used.
+    auto addUnexpectedInput(const SocketAddress &server) -> void;
     /// Returns the response to a metrics scrape.
     [[nodiscard]] auto metricsResponse() const -> HttpResponse;
 
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -487,6 +487,7 @@
         auto &active = entry.mapped();
         active.record.status = response.status;
         active.record.verdict = Verdict::Ran;
+        active.record.bodyEnd = response.bodyEnd;
         recordEnd(active);
         if (active.exchange) {
             active.exchange->respond(Protocol::callerResponse(std::move(response)));
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/http_message.h"
 #include "figlanding/names.h"
 #include "figlanding/refusal.h"
 #include "figlanding/verdict.h"
@@ -26,6 +27,7 @@
     int status = 0; ///< HTTP status of the response; 0 if the caller disconnected first
     Verdict verdict = Verdict::NotRun;
     std::optional<RefusalReason> refusal; ///< empty if a server responded
+    std::optional<BodyEnd> bodyEnd; ///< of the server's response that was passed on
     Duration elapsed{}; ///< from receipt to completion
     Duration waited{}; ///< from receipt to the last send to a server
     std::uint32_t attempts = 0; ///< number of the last send to a server; 0 if never sent
--- a/src/io/connection_registry.cpp
+++ b/src/io/connection_registry.cpp
@@ -8,6 +8,17 @@
 
 namespace figlanding {
 
+namespace {
+
+// Looks for unread input. Returns 1 if there is some, 0 at its end, -1 if there is none yet.
+auto peek(int fd) -> ssize_t
+{
+    auto byte = char{};
+    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+} // namespace
+
 auto ConnectionRegistry::EndpointsHash::operator()(const ConnectionEndpoints &endpoints) const
     -> std::size_t
 {
@@ -20,7 +31,7 @@
 {
     remove(fd);
     m_sockets[endpoints] = fd;
-    m_entries[fd] = Entry{.endpoints = std::move(endpoints), .lastUsed = {}, .unanswered = false};
+    m_entries[fd] = Entry{.endpoints = std::move(endpoints), .lastUsed = {}};
 }
 
 auto ConnectionRegistry::remove(int fd) -> void
@@ -42,14 +53,34 @@
     return socket == m_sockets.end() ? -1 : socket->second;
 }
 
-auto ConnectionRegistry::touch(int fd, TimePoint now) -> void
+auto ConnectionRegistry::setIdle(int fd, TimePoint now) -> void
 {
     const auto entry = m_entries.find(fd);
     if (entry != m_entries.end()) {
         entry->second.lastUsed = now;
+        entry->second.idle = true;
+    }
+}
+
+auto ConnectionRegistry::setBusy(int fd) -> void
+{
+    const auto entry = m_entries.find(fd);
+    if (entry != m_entries.end()) {
+        entry->second.idle = false;
     }
 }
 
+auto ConnectionRegistry::unexpectedInputFrom(int fd) const -> std::optional<SocketAddress>
+{
+    const auto entry = m_entries.find(fd);
+    if (entry == m_entries.end() || !entry->second.idle || peek(fd) <= 0) {
+        return std::nullopt;
+    }
+    const auto &endpoints = entry->second.endpoints;
+    return SocketAddress{.ip = endpoints.remoteIp,
+                         .port = static_cast<std::uint16_t>(endpoints.remotePort)};
+}
+
 auto ConnectionRegistry::setUnanswered(int fd, bool unanswered) -> void
 {
     const auto entry = m_entries.find(fd);
@@ -70,9 +101,7 @@
     if (entry == m_entries.end() || now - entry->second.lastUsed > maxIdleAge) {
         return false;
     }
-    auto byte = char{};
-    const auto size = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return peek(fd) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 } // namespace figlanding
--- a/src/io/connection_registry.h
+++ b/src/io/connection_registry.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/objects.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,8 +36,13 @@
     auto remove(int fd) -> void;
     /// Returns the socket of @p endpoints, or -1 if none is registered.
     [[nodiscard]] auto find(const ConnectionEndpoints &endpoints) const -> int;
-    /// Records that a call on @p fd ended at @p now.
-    auto touch(int fd, TimePoint now) -> void;
+    /// Records that a call on @p fd ended at @p now and left the connection open.
+    auto setIdle(int fd, TimePoint now) -> void;
+    /// Records that a call uses @p fd.
+    auto setBusy(int fd) -> void;
+    /// Returns the server's address if @p fd is idle and has unread input, which belongs to no
+    /// call.
+    [[nodiscard]] auto unexpectedInputFrom(int fd) const -> std::optional<SocketAddress>;
     /// Records whether the request on @p fd is unanswered: it may have been sent, and no byte of a
     /// response has arrived.
     auto setUnanswered(int fd, bool unanswered) -> void;
@@ -50,6 +57,7 @@
     {
         ConnectionEndpoints endpoints;
         TimePoint lastUsed;
+        bool idle = false;
         bool unanswered = false;
     };
     struct EndpointsHash
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -109,9 +109,9 @@
 
 HttpClient::Impl::Impl(EventLoop &eventLoop, HttpClientOptions clientOptions)
     : loop(eventLoop)
-    , options(clientOptions)
+    , options(std::move(clientOptions))
     , multi(makeMulti())
-    , budget(clientOptions.maxBufferedBytes)
+    , budget(options.maxBufferedBytes)
 {
     ev_timer_init(&timer, &Impl::onTimer, 0.0, 0.0);
     timer.data = this;
@@ -339,6 +339,10 @@
 auto HttpClient::Impl::onCloseSocket(void *self, curl_socket_t fd) -> int
 {
     auto *impl = static_cast<Impl *>(self);
+    if (const auto server = impl->registry.unexpectedInputFrom(fd);
+        server && impl->options.onUnexpectedInput) {
+        impl->options.onUnexpectedInput(*server);
+    }
     if (impl->registry.unanswered(fd)) {
         resetOnClose(fd);
     }
@@ -351,7 +355,7 @@
 }
 
 HttpClient::HttpClient(EventLoop &loop, HttpClientOptions options)
-    : m_impl(std::make_unique<Impl>(loop, options))
+    : m_impl(std::make_unique<Impl>(loop, std::move(options)))
 { }
 
 HttpClient::~HttpClient() = default;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -79,6 +79,9 @@
     /// Accepts responses whose body is delimited by the end of the connection. A connection reset
     /// still fails the call.
     bool acceptsCloseDelimited = false;
+    /// Called with the server's address when an idle connection has input that belongs to no call.
+    /// The connection is not used again. Must not use the client; may be empty.
+    std::function<void(const SocketAddress &)> onUnexpectedInput = {};
 };
 
 /// Sends requests. The connection of a call that ends before a byte of the response, by timeout, by
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -246,7 +246,7 @@
 auto HttpTransfer::discardResponse() -> void
 {
     m_budget.release(m_response.body.size());
-    m_response = HttpResponse{.status = 0, .headers = {}, .body = {}};
+    m_response = HttpResponse{.status = 0};
 }
 
 auto HttpTransfer::bytesSent() const -> curl_off_t
@@ -273,7 +273,10 @@
     }
     m_socket = m_registry.find(endpoints);
     m_staleConnection = !m_registry.reusable(m_socket, MonotonicClock::now(), m_options.maxIdleAge);
-    m_registry.setUnanswered(m_socket, !m_staleConnection);
+    if (!m_staleConnection) {
+        m_registry.setBusy(m_socket);
+        m_registry.setUnanswered(m_socket, true);
+    }
     return !m_staleConnection;
 }
 
@@ -368,6 +371,15 @@
     return m_request.method == "HEAD" || statusHasNoBody(m_response.status);
 }
 
+auto HttpTransfer::bodyEnd() const -> BodyEnd
+{
+    if (hasNoBody() || m_response.headers.find("content-length")) {
+        return BodyEnd::Length;
+    }
+    return m_response.headers.find("transfer-encoding") ? BodyEnd::LastChunk
+                                                        : BodyEnd::ConnectionEnd;
+}
+
 // Returns why the length of the response body is ambiguous or wrong, or an empty string. libcurl
 // accepts such responses, but a router must not forward them as complete.
 auto HttpTransfer::framingError() const -> std::string
@@ -436,7 +448,9 @@
 auto HttpTransfer::finish(CURLcode code) -> HttpOutcome
 {
     const auto now = MonotonicClock::now();
-    m_registry.touch(m_socket, now);
+    if (code == CURLE_OK) {
+        m_registry.setIdle(m_socket, now);
+    }
     auto outcome = HttpOutcome{};
     outcome.elapsed = now - m_start;
     outcome.newConnection = m_newConnection;
@@ -454,6 +468,7 @@
         return outcome;
     }
     outcome.verdict = Verdict::Ran;
+    m_response.bodyEnd = bodyEnd();
     m_budget.release(m_response.body.size());
     outcome.response = std::exchange(m_response, {});
     return outcome;
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -72,6 +72,7 @@
     auto appendBody(std::string_view data) -> bool;
     [[nodiscard]] auto bytesSent() const -> curl_off_t;
     [[nodiscard]] auto hasNoBody() const -> bool;
+    [[nodiscard]] auto bodyEnd() const -> BodyEnd;
     [[nodiscard]] auto headError() const -> std::optional<Error>;
     [[nodiscard]] auto framingError() const -> std::string;
     [[nodiscard]] auto tooLarge(const std::string &part, std::size_t limit) const -> Error;
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -98,6 +98,13 @@
     MetricCache<prometheus::Counter> slotMismatches{registerCounterFamily(
         registry, "figlanding_slot_mismatches_total",
         "Slots and tickets that do not belong to the request that uses them, by kind.")};
+    MetricCache<prometheus::Counter> responses{
+        registerCounterFamily(registry, "figlanding_responses_total",
+                              "Responses of servers that were passed on, by how they end.")};
+    prometheus::Counter &unexpectedInputs =
+        registerCounterFamily(registry, "figlanding_unexpected_inputs_total",
+                              "Connections to servers that had input while no request used them.")
+            .Add({});
     MetricCache<prometheus::Counter> replacedReads{registerCounterFamily(
         registry, "figlanding_store_reads_replaced_total",
         "Reads of the store that were replaced while they were in flight, by topic.")};
@@ -172,6 +179,17 @@
     m_impl->slotMismatches.get(kind, {{"kind", kind}}).Increment();
 }
 
+auto Metrics::countResponse(BodyEnd end) -> void
+{
+    const auto text = std::string(figlanding::toText(end));
+    m_impl->responses.get(text, {{"body_end", text}}).Increment();
+}
+
+auto Metrics::countUnexpectedInput() -> void
+{
+    m_impl->unexpectedInputs.Increment();
+}
+
 auto Metrics::countReplacedRead(const std::string &topic) -> void
 {
     m_impl->replacedReads.get(topic, {{"topic", topic}}).Increment();
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/http_message.h"
 #include "figlanding/names.h"
 #include "figlanding/refusal.h"
 #include "figlanding/verdict.h"
@@ -46,6 +47,10 @@
     /// Counts a slot or a ticket that does not belong to the request that uses it.
     /// @param kind what does not match: "acquire", "response" or "service"
     auto countSlotMismatch(const std::string &kind) -> void;
+    /// Counts a server's response that was passed on to a caller.
+    auto countResponse(BodyEnd end) -> void;
+    /// Counts a connection to a server that had input while no request used it.
+    auto countUnexpectedInput() -> void;
     /// Counts a read of the store that was replaced while it was in flight.
     /// @param topic "configuration", "servers" or "fleet"
     auto countReplacedRead(const std::string &topic) -> void;
--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -362,6 +362,50 @@
     }
 }
 
+TEST_CASE("the response states how its end was found")
+{
+    struct Row
+    {
+        std::string head;
+        BodyEnd end;
+    };
+    const auto rows = std::vector<Row>{
+        {"Content-Length: 2\r\n\r\nok", BodyEnd::Length},
+        {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", BodyEnd::LastChunk},
+        {"Connection: close\r\n\r\nok", BodyEnd::ConnectionEnd},
+    };
+    for (const auto &row : rows) {
+        CAPTURE(row.head);
+        auto server = RawServer({{read(), send("HTTP/1.1 200 OK\r\n" + row.head)}});
+        auto syncClient = SyncClient({.acceptsCloseDelimited = true});
+        const auto outcome = syncClient.call(server.address(), post("b"));
+        CHECK(outcome.response.body == "ok");
+        CHECK(outcome.response.bodyEnd == row.end);
+    }
+}
+
+TEST_CASE("input on an idle connection is reported, its end is not")
+{
+    const auto rows =
+        std::vector<std::pair<RawStep, int>>{{send("late"), 1}, {step(RawAction::Close), 0}};
+    for (const auto &[late, reports] : rows) {
+        auto server = RawServer(
+            {{read(), send(okResponse), step(RawAction::Await), late, step(RawAction::Hold)},
+             {read(), send(okResponse), step(RawAction::Hold)}});
+        auto reported = std::vector<SocketAddress>{};
+        auto syncClient = SyncClient(
+            {.onUnexpectedInput = [&](const SocketAddress &from) { reported.push_back(from); }});
+        REQUIRE(syncClient.call(server.address(), post("b")).verdict == Verdict::Ran);
+        const auto fd = socketTo(server.address());
+        server.proceed();
+        for (auto i = 0; i < 10'000 && !hasInput(fd); ++i) {
+            syncClient.wait(milliseconds(1));
+        }
+        REQUIRE(syncClient.call(server.address(), post("b")).verdict == Verdict::Ran);
+        CHECK(reported == std::vector<SocketAddress>(reports, server.address()));
+    }
+}
+
 TEST_CASE("idle age limit and forced new connections")
 {
     struct Row
--- a/tests/contract/metrics_test.cpp
+++ b/tests/contract/metrics_test.cpp
@@ -18,6 +18,8 @@
     metrics.countFilterDecision("limit", FilterOutcome::Refused);
     metrics.countRefusal(RefusalReason::RateLimited);
     metrics.countSlotMismatch("acquire");
+    metrics.countResponse(BodyEnd::ConnectionEnd);
+    metrics.countUnexpectedInput();
     metrics.countReplacedRead("configuration");
     metrics.setUnservedKeys("lease", 12);
     metrics.countRetry("not-run");
@@ -40,6 +42,8 @@
         R"(figlanding_refusals_total{reason="rate-limited"} 1)",
         R"(figlanding_unserved_keys{wait="lease"} 12)",
         R"(figlanding_slot_mismatches_total{kind="acquire"} 1)",
+        R"(figlanding_responses_total{body_end="connection-end"} 1)",
+        "figlanding_unexpected_inputs_total 1",
         R"(figlanding_store_reads_replaced_total{topic="configuration"} 1)",
         R"(figlanding_retries_total{cause="not-run"} 2)",
         R"(figlanding_dispatches_total{server="s1",verdict="may-have-run"} 1)",
