--- a/tests/contract/gateway_deployment.h
+++ b/tests/contract/gateway_deployment.h
@@ -63,6 +63,11 @@
         -> bool;
     auto runFor(milliseconds span) -> void;
 
+    /// Returns the loop on which everything runs.
+    auto loop() -> EventLoop &
+    {
+        return m_loop;
+    }
     [[nodiscard]] auto callers(std::size_t vm) const -> const SocketAddress &;
     auto store() -> PlatformStore &;
     auto server(std::size_t index) -> PlatformServer &;
