--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <cerrno>
 #include <charconv>
 #include <optional>
@@ -40,6 +41,14 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+auto equalsIgnoringCase(std::string_view text, std::string_view lowerCase) -> bool
+{
+    return std::equal(text.begin(), text.end(), lowerCase.begin(), lowerCase.end(),
+                      [](char left, char right) {
+                          return std::tolower(static_cast<unsigned char>(left)) == right;
+                      });
+}
+
 auto parseStatusCode(std::string_view statusLine) -> int
 {
     const auto space = statusLine.find(' ');
@@ -333,8 +342,14 @@
     if (m_response.status < statusFirstFinal || hasNoBody()) {
         return std::nullopt;
     }
+    const auto transferEncoding = headers.find("transfer-encoding");
+    if (transferEncoding && !equalsIgnoringCase(*transferEncoding, "chunked")) {
+        // libcurl reads other codings to the end of the connection.
+        return Error{.code = ErrorCode::ProtocolViolation,
+                     .detail = "answer has an unknown transfer coding"};
+    }
     const auto length = headers.find("content-length");
-    if (!length && !headers.find("transfer-encoding") && !m_acceptsCloseDelimited) {
+    if (!length && !transferEncoding && !m_acceptsCloseDelimited) {
         return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer announces no length"};
     }
     if (length && parseLength(*length).value_or(0) > m_maxBodyBytes) {
