--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -25,7 +25,8 @@
     /// Returns the request, including its complete body.
     [[nodiscard]] auto request() const -> const HttpRequest &;
     /// Sends the response. May be called after the handler has returned, from any callback of the
-    /// loop. Only the first call has an effect.
+    /// loop. Only the first call has an effect. A body that ends with its connection is sent
+    /// without a length, and the connection is closed after it.
     auto respond(HttpResponse response) -> void;
     /// Closes the client's connection without a response; no effect after respond().
     auto abort() -> void;
--- a/src/io/http_server_request.cpp
+++ b/src/io/http_server_request.cpp
@@ -1,5 +1,7 @@
 #include "io/http_server_request.h"
 
+#include "io/open_ended_response.h"
+
 #include <charconv>
 #include <utility>
 
@@ -72,6 +74,17 @@
     return name == "content-length" || isHopByHop(name);
 }
 
+// A body whose end nobody stated gets none here either: the length of a part would make it look
+// whole.
+auto makeNativeResponse(MHD_Connection *handle, const HttpResponse &response) -> MHD_Response *
+{
+    if (response.bodyEnd == BodyEnd::ConnectionEnd) {
+        return makeOpenEndedResponse(handle, response.body);
+    }
+    return MHD_create_response_from_buffer(
+        response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+}
+
 } // namespace
 
 HttpExchange::Impl::Impl(HttpRequest message)
@@ -168,8 +181,7 @@
 
 auto sendResponse(MHD_Connection *handle, const HttpResponse &response) -> MHD_Result
 {
-    auto *native = MHD_create_response_from_buffer(
-        response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+    auto *native = makeNativeResponse(handle, response);
     if (native == nullptr) {
         return MHD_NO;
     }
--- a/src/io/socket.cpp
+++ b/src/io/socket.cpp
@@ -131,6 +131,12 @@
     ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
+auto endOnClose(int fd) -> void
+{
+    const auto option = linger{.l_onoff = 0, .l_linger = 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 auto localPort(int fd) -> std::uint16_t
 {
     auto storage = sockaddr_storage{};
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -19,9 +19,15 @@
 constexpr milliseconds timeout{5000};
 constexpr milliseconds noResponseDelay{150}; ///< wait before a missing response counts as missing
 
+auto repeated(std::size_t count) -> std::string
+{
+    return std::string(count, 'a');
+}
+
 /// A server on its own thread. Paths: /echo responds at once, /later responds from another
-/// callback, /hold never responds, /abort closes the connection, /drop destroys the request handle
-/// without a response, /drain drains the server and responds.
+/// callback, /open-ended?SIZE responds with a body that ends with the connection, /hold never
+/// responds, /abort closes the connection, /drop destroys the request handle without a response,
+/// /drain drains the server and responds.
 class ServerThread
 {
 public:
@@ -82,6 +88,9 @@
             m_held.push_back(exchange);
         } else if (target == "/abort") {
             exchange.abort();
+        } else if (target.starts_with("/open-ended")) {
+            const auto size = std::stoul(target.substr(target.find('?') + 1));
+            exchange.respond({.body = repeated(size), .bodyEnd = BodyEnd::ConnectionEnd});
         } else if (target == "/drain") {
             m_server->drain();
             exchange.respond({.body = "draining"});
@@ -103,11 +112,6 @@
     return response.rfind(prefix, 0) == 0 ? std::stoi(response.substr(prefix.size(), 3)) : 0;
 }
 
-auto repeated(std::size_t count) -> std::string
-{
-    return std::string(count, 'a');
-}
-
 struct Exchange
 {
     std::string name;
@@ -294,6 +298,35 @@
     CHECK(client.closedByPeer());
 }
 
+TEST_CASE("an open-ended response has no length and its connection ends normally after it")
+{
+    ServerThread server;
+    for (const auto size : {std::size_t{0}, std::size_t{1}, std::size_t{3'000'000}}) {
+        CAPTURE(size);
+        RawClient client(server.port);
+        client.send("GET /open-ended?" + std::to_string(size) + " HTTP/1.1\r\nhost: a\r\n\r\n");
+        const auto response = client.readAll(timeout);
+        const auto head = response.substr(0, response.find("\r\n\r\n"));
+        CHECK(statusOf(response) == 200);
+        CHECK(head.find("ength") == std::string::npos);
+        CHECK(head.find("ncoding") == std::string::npos);
+        CHECK(response.substr(head.size()) == "\r\n\r\n" + repeated(size));
+        CHECK(client.closedByPeer());
+        CHECK_FALSE(client.resetByPeer());
+    }
+}
+
+TEST_CASE("a server that ends within an open-ended response resets its connection")
+{
+    auto server = std::make_unique<ServerThread>();
+    RawClient client(server->port);
+    client.send("GET /open-ended?50000000 HTTP/1.1\r\nhost: a\r\n\r\n");
+    REQUIRE(!client.readUntil("aaa", timeout).empty());
+    server.reset();
+    static_cast<void>(client.readAll(timeout));
+    CHECK(client.resetByPeer());
+}
+
 TEST_CASE("listening on a port in use fails with IoFailure")
 {
     ServerThread server;
--- a/tests/standins/raw_client.cpp
+++ b/tests/standins/raw_client.cpp
@@ -77,6 +77,7 @@
             received.append(buffer.data(), static_cast<std::size_t>(count));
         } else if (count == 0 || errno != EAGAIN) {
             m_closedByPeer = true;
+            m_resetByPeer = count < 0;
         }
     }
     return received;
--- a/tests/standins/raw_client.h
+++ b/tests/standins/raw_client.h
@@ -36,9 +36,16 @@
         return m_closedByPeer;
     }
 
+    /// Returns whether a read has found the connection reset by the peer.
+    [[nodiscard]] auto resetByPeer() const -> bool
+    {
+        return m_resetByPeer;
+    }
+
 private:
     FileDescriptor m_socket;
     bool m_closedByPeer = false;
+    bool m_resetByPeer = false;
 };
 
 } // namespace figlanding::standins
