--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -19,6 +19,18 @@
 
 namespace figlanding {
 
+/// Bound of the times that datagrams give of a request: how long it has waited and may still wait.
+/// Senders limit the times of requests that may wait longer.
+inline constexpr milliseconds maxRequestTime = std::chrono::hours(24);
+/// Bound of the time for which a process has run.
+inline constexpr milliseconds maxUptime = std::chrono::hours(24 * 365 * 10);
+/// Bound of the age of relayed records, which a read of the store obtained.
+inline constexpr milliseconds maxUpdateAge = std::chrono::hours(1);
+/// Bound of the age of a reported grant. Older ones are not reported, as their leases are over.
+inline constexpr milliseconds maxGrantAge = std::chrono::minutes(1);
+/// Bound of the time in which a grant that was reported may still arrive.
+inline constexpr milliseconds maxGrantDelay = std::chrono::seconds(10);
+
 /// Number of requests for one key since the sender's last report.
 struct KeyCount
 {
@@ -138,7 +150,8 @@
 /// Encodes a message as CBOR; larger messages are compressed.
 [[nodiscard]] auto encodeFleetMessage(const FleetMessage &message) -> std::string;
 /// Decodes a datagram.
-/// @return InvalidSyntax or InvalidValue if @p bytes are not a valid message
+/// @return InvalidSyntax or InvalidValue if @p bytes are not a valid message, or if one of its
+/// durations is outside the bounds above
 [[nodiscard]] auto decodeFleetMessage(std::string_view bytes) -> Result<FleetMessage>;
 
 } // namespace figlanding
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -5,8 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <exception>
+#include <limits>
 #include <utility>
 
 namespace figlanding {
@@ -157,7 +157,37 @@
             message.age.count()};
 }
 
-auto decodeHeartbeat(const json &fields) -> Heartbeat
+// Both bounds are inclusive.
+struct DurationBounds
+{
+    milliseconds min{};
+    milliseconds max{};
+};
+
+constexpr auto requestTimeBounds = DurationBounds{.max = maxRequestTime};
+constexpr auto requestTimeLeftBounds =
+    DurationBounds{.min = -maxRequestTime, .max = maxRequestTime};
+constexpr auto uptimeBounds = DurationBounds{.max = maxUptime};
+constexpr auto updateAgeBounds = DurationBounds{.max = maxUpdateAge};
+constexpr auto grantAgeBounds = DurationBounds{.min = -maxGrantDelay, .max = maxGrantAge};
+
+// The name is that of the message's field, for the log.
+auto decodeDuration(const json &field, std::string_view name, const DurationBounds &bounds)
+    -> Result<milliseconds>
+{
+    // A conversion of a larger number is undefined or changes its sign.
+    const auto fits = field.is_number_unsigned()
+        ? field.get<std::uint64_t>() <= std::numeric_limits<std::int64_t>::max()
+        : field.is_number_integer();
+    const auto value = milliseconds(fits ? field.get<std::int64_t>() : 0);
+    if (!fits || value < bounds.min || value > bounds.max) {
+        return fail(ErrorCode::InvalidValue,
+                    std::string(name).append(" out of range: ").append(field.dump()));
+    }
+    return value;
+}
+
+auto decodeHeartbeat(const json &fields) -> Result<Heartbeat>
 {
     auto message = Heartbeat{.leaving = fields.at(1).get<bool>(),
                              .capacity = fields.at(4).get<double>(),
@@ -182,13 +212,13 @@
     }
     constexpr auto uptimeField = std::size_t{7};
     if (fields.size() > uptimeField) {
-        const auto uptime = fields.at(uptimeField).get<std::int64_t>();
-        message.uptime = milliseconds(std::max<std::int64_t>(0, uptime));
+        BOOST_LEAF_ASSIGN(message.uptime,
+                          decodeDuration(fields.at(uptimeField), "uptime", uptimeBounds));
     }
     return message;
 }
 
-auto decodeWorkReport(const json &fields) -> WorkReport
+auto decodeWorkReport(const json &fields) -> Result<WorkReport>
 {
     auto message = WorkReport{};
     for (const auto &row : fields.at(1)) {
@@ -200,56 +230,65 @@
         }
     }
     for (const auto &row : fields.at(2)) {
-        message.serviceTimes.emplace(BackendServerId(row.at(0).get<std::string>()),
-                                     milliseconds(row.at(1).get<std::int64_t>()));
+        BOOST_LEAF_AUTO(time, decodeDuration(row.at(1), "service time", requestTimeBounds));
+        message.serviceTimes.emplace(BackendServerId(row.at(0).get<std::string>()), time);
     }
     return message;
 }
 
-auto decodeLeaseReport(const json &fields) -> LeaseReport
+auto decodeLeaseReport(const json &fields) -> Result<LeaseReport>
 {
     auto message = LeaseReport{.term = fields.at(1).get<Term>(), .grants = {}};
     for (const auto &row : fields.at(2)) {
+        BOOST_LEAF_AUTO(ago, decodeDuration(row.at(2), "age of a grant", grantAgeBounds));
         message.grants.push_back(
             {.server = {.server = BackendServerId(row.at(0).get<std::string>()),
                         .startedUnixMs = row.at(1).get<std::int64_t>()},
-             .ago = milliseconds(row.at(2).get<std::int64_t>())});
+             .ago = ago});
     }
     return message;
 }
 
-auto decodeAcquire(const json &fields) -> SlotAcquire
+auto decodeAcquire(const json &fields) -> Result<SlotAcquire>
 {
+    BOOST_LEAF_AUTO(waited, decodeDuration(fields.at(7), "waited", requestTimeBounds));
+    BOOST_LEAF_AUTO(objectiveIn,
+                    decodeDuration(fields.at(8), "time to objective", requestTimeLeftBounds));
+    BOOST_LEAF_AUTO(deadlineIn,
+                    decodeDuration(fields.at(9), "time to deadline", requestTimeLeftBounds));
     auto message = SlotAcquire{.ticket = fields.at(1).get<std::uint64_t>(),
                                .service = ServiceId(fields.at(2).get<std::string>()),
                                .owner = BackendServerId(fields.at(3).get<std::string>()),
                                .priority = fields.at(5).get<std::uint32_t>(),
                                .zone = AvailabilityZoneId(fields.at(6).get<std::string>()),
-                               .waited = milliseconds(fields.at(7).get<std::int64_t>()),
-                               .objectiveIn = milliseconds(fields.at(8).get<std::int64_t>()),
-                               .deadlineIn = milliseconds(fields.at(9).get<std::int64_t>())};
+                               .waited = waited,
+                               .objectiveIn = objectiveIn,
+                               .deadlineIn = deadlineIn};
     for (const auto &server : fields.at(4)) {
         message.excluded.emplace_back(server.get<std::string>());
     }
     return message;
 }
 
-auto decodeResponse(const json &fields) -> SlotResponse
+auto decodeResponse(const json &fields) -> Result<SlotResponse>
 {
-    return {.ticket = fields.at(1).get<std::uint64_t>(),
-            // VMs of earlier releases omit it.
-            .process = fields.size() > 6 ? fields.at(6).get<std::string>() : std::string{},
-            .state = static_cast<SlotState>(fields.at(2).get<int>()),
-            .server = {.server = BackendServerId(fields.at(3).get<std::string>()),
-                       .startedUnixMs = fields.at(4).get<std::int64_t>()},
-            .retryAfter = milliseconds(fields.at(5).get<std::int64_t>())};
+    BOOST_LEAF_AUTO(retryAfter, decodeDuration(fields.at(5), "retry after", requestTimeBounds));
+    return SlotResponse{.ticket = fields.at(1).get<std::uint64_t>(),
+                        // VMs of earlier releases omit it.
+                        .process =
+                            fields.size() > 6 ? fields.at(6).get<std::string>() : std::string{},
+                        .state = static_cast<SlotState>(fields.at(2).get<int>()),
+                        .server = {.server = BackendServerId(fields.at(3).get<std::string>()),
+                                   .startedUnixMs = fields.at(4).get<std::int64_t>()},
+                        .retryAfter = retryAfter};
 }
 
-auto decodeRelease(const json &fields) -> SlotRelease
+auto decodeRelease(const json &fields) -> Result<SlotRelease>
 {
+    BOOST_LEAF_AUTO(elapsed, decodeDuration(fields.at(3), "elapsed", requestTimeBounds));
     auto message = SlotRelease{.ticket = fields.at(1).get<std::uint64_t>(),
                                .end = static_cast<SlotEnd>(fields.at(2).get<int>()),
-                               .elapsed = milliseconds(fields.at(3).get<std::int64_t>())};
+                               .elapsed = elapsed};
     if (fields.size() > 4 && fields.at(4).at(2).get<std::uint32_t>() > 0) {
         const auto &load = fields.at(4);
         message.load = LoadReport{.running = load.at(0).get<std::uint32_t>(),
@@ -267,12 +306,13 @@
     return message;
 }
 
-auto decodeTopicUpdate(const json &fields) -> TopicUpdate
+auto decodeTopicUpdate(const json &fields) -> Result<TopicUpdate>
 {
+    BOOST_LEAF_AUTO(age, decodeDuration(fields.at(6), "age", updateAgeBounds));
     auto message = TopicUpdate{.topic = fields.at(1).get<std::string>(),
                                .from = fields.at(2).get<LogOffset>(),
                                .next = fields.at(3).get<LogOffset>(),
-                               .age = milliseconds(fields.at(6).get<std::int64_t>()),
+                               .age = age,
                                .complete = fields.at(5).get<bool>(),
                                .shortened = static_cast<Kind>(fields.at(0).get<int>())
                                    == Kind::ShortenedTopic};
@@ -288,24 +328,32 @@
     return message;
 }
 
+// Wraps a decoded message.
+template <typename Message>
+auto asPayload(Result<Message> decoded) -> Result<FleetPayload>
+{
+    BOOST_LEAF_AUTO(message, std::move(decoded));
+    return FleetPayload(std::move(message));
+}
+
 auto decodePayload(const json &fields) -> Result<FleetPayload>
 {
     switch (static_cast<Kind>(fields.at(0).get<int>())) {
     case Kind::Heartbeat:
-        return FleetPayload(decodeHeartbeat(fields));
+        return asPayload(decodeHeartbeat(fields));
     case Kind::Acquire:
-        return FleetPayload(decodeAcquire(fields));
+        return asPayload(decodeAcquire(fields));
     case Kind::Response:
-        return FleetPayload(decodeResponse(fields));
+        return asPayload(decodeResponse(fields));
     case Kind::Release:
-        return FleetPayload(decodeRelease(fields));
+        return asPayload(decodeRelease(fields));
     case Kind::Topic:
     case Kind::ShortenedTopic:
-        return FleetPayload(decodeTopicUpdate(fields));
+        return asPayload(decodeTopicUpdate(fields));
     case Kind::Work:
-        return FleetPayload(decodeWorkReport(fields));
+        return asPayload(decodeWorkReport(fields));
     case Kind::Leases:
-        return FleetPayload(decodeLeaseReport(fields));
+        return asPayload(decodeLeaseReport(fields));
     }
     return fail(ErrorCode::InvalidValue, "unknown datagram kind");
 }
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -13,9 +13,11 @@
 /// Limit for the number of groups that another VM may report.
 constexpr std::size_t maxGroups = 1000;
 
+// A receiver refuses a message with a time beyond maxRequestTime.
 auto toMs(Duration duration) -> milliseconds
 {
-    return std::chrono::duration_cast<milliseconds>(duration);
+    return std::clamp(std::chrono::duration_cast<milliseconds>(duration), -maxRequestTime,
+                      maxRequestTime);
 }
 
 auto groupName(const ServiceId &service, std::size_t group) -> ServiceId
