--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -163,6 +163,8 @@
                                      TimePoint now) const -> double;
     auto recordResult(Server &server, const ActiveGrant &granted, const SlotResult &result,
                       TimePoint now) -> void;
+    auto recordServiceTime(Server &server, const ActiveGrant &granted,
+                           const SlotResult &result) const -> void;
     auto recordEnd(Server &server, const ActiveGrant &granted, const SlotResult &result,
                    TimePoint now) -> void;
     auto expireGrants(TimePoint now) -> void;
--- a/src/core/gateway/slot_broker_servers.cpp
+++ b/src/core/gateway/slot_broker_servers.cpp
@@ -97,26 +97,36 @@
     server.pausedUntil = std::max(server.pausedUntil, now + fromMilliseconds(pause));
 }
 
+// Ignores a time that no request can take, as its slot is reclaimed before: with such an average,
+// the server would seem too slow for every request, and no further one would correct it.
+auto SlotBroker::recordServiceTime(Server &server, const ActiveGrant &granted,
+                                   const SlotResult &result) const -> void
+{
+    if (result.elapsed > granted.expiresAt - granted.grantedAt) {
+        return;
+    }
+    // Service time normalized to the server's usual speed.
+    const auto sample =
+        toMilliseconds(result.elapsed) / std::max(1.0, result.load ? result.load->slowness : 1.0);
+    const auto update = [&](double &average, double value) {
+        average =
+            average == 0.0 ? value : average + m_options.serviceTimeWeight * (value - average);
+    };
+    update(server.normalizedMs, sample);
+    update(server.observedMs, toMilliseconds(result.elapsed));
+}
+
 auto SlotBroker::recordEnd(Server &server, const ActiveGrant &granted, const SlotResult &result,
                            TimePoint now) -> void
 {
     const auto &zone = granted.zone;
     switch (result.end) {
     case SlotEnd::Served:
-    case SlotEnd::Failed: {
+    case SlotEnd::Failed:
         recordResponse(server, zone, now);
         server.declines = 0;
-        // Service time normalized to the server's usual speed.
-        const auto sample = toMilliseconds(result.elapsed)
-            / std::max(1.0, result.load ? result.load->slowness : 1.0);
-        const auto update = [&](double &average, double value) {
-            average =
-                average == 0.0 ? value : average + m_options.serviceTimeWeight * (value - average);
-        };
-        update(server.normalizedMs, sample);
-        update(server.observedMs, toMilliseconds(result.elapsed));
+        recordServiceTime(server, granted, result);
         break;
-    }
     case SlotEnd::Declined:
         recordDecline(server, granted.grantedAt, now);
         break;
--- a/tests/unit/slot_broker_test.cpp
+++ b/tests/unit/slot_broker_test.cpp
@@ -416,3 +416,17 @@
     CHECK(after.running() == 0);
     CHECK(after.statedLimits(start).empty());
 }
+
+TEST_CASE("a VM that reports an impossible service time does not make a server seem too slow")
+{
+    auto broker = SlotBroker({}, 1);
+    broker.setServers(service, {server("s1", 1)});
+    broker.acquire(request(1, start), start);
+    broker.release({.vm = VmId("vm"), .number = 1}, served(std::chrono::hours(1)), start);
+    CHECK(broker.running() == 0);
+    broker.acquire(request(2, start), start);
+    CHECK(grantedTo(broker.takeDecisions(), 2) == "s1");
+    const auto longest = milliseconds(1500); // of a request that ends before its slot is reclaimed
+    broker.release({.vm = VmId("vm"), .number = 2}, served(longest), start);
+    CHECK(broker.serviceTimes().at(BackendServerId("s1")) == longest);
+}
