--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -4,6 +4,7 @@
 #include "figlanding/gateway/relay_schedule.h"
 #include "figlanding/gateway/store.h"
 #include "io/event_loop.h"
+#include "io/log.h"
 
 #include <algorithm>
 #include <functional>
@@ -98,12 +99,16 @@
         }
     }
     /// Records that another VM has read up to @p end, and schedules a read if this VM is behind.
+    /// The claim counts until a read that began after it shows that the topic ends before.
     auto onPeerEnd(LogOffset end) -> void
     {
         if (end > m_peerEnd && m_peerEnd <= m_nextOffset && end > m_nextOffset) {
             m_behindSince = m_loop.now();
         }
-        m_peerEnd = std::max(m_peerEnd, end);
+        if (end > m_peerEnd) {
+            m_peerEnd = end;
+            m_peerEndRead = m_readNumber;
+        }
         if (m_hasSnapshot && m_peerEnd > m_nextOffset && !m_catchUpTimer.active()) {
             m_catchUpTimer.startOnce(m_options.catchUpPause);
         }
@@ -159,6 +164,7 @@
     {
         std::uint64_t number = 0;
         TimePoint sentAt;
+        milliseconds wait{}; ///< long polling; not for snapshots
     };
 
     /// Limit of the records in a datagram; a single record may be larger.
@@ -173,7 +179,9 @@
         m_timer.stop();
         m_sentAt = m_loop.now();
         m_unanswered += 1;
-        const auto current = Read{.number = ++m_readNumber, .sentAt = m_sentAt};
+        // Records that another VM has exist already, unless its claim is false.
+        const auto wait = m_peerEnd > m_nextOffset ? milliseconds(0) : m_options.wait;
+        const auto current = Read{.number = ++m_readNumber, .sentAt = m_sentAt, .wait = wait};
         if (m_needsSnapshot) {
             m_store.readNewest({.topic = m_options.topic,
                                 .freshConnection = freshConnection,
@@ -186,14 +194,15 @@
         }
         m_store.read({.topic = m_options.topic,
                       .from = m_nextOffset,
-                      .wait = m_options.wait,
+                      .wait = wait,
                       .freshConnection = freshConnection,
                       .onProgress = [this] { m_progressAt = m_loop.now(); }},
                      [this, current](const Settled<KeyedPage> &page) {
                          m_unanswered -= 1;
                          if (current.number == m_readNumber) {
-                             onPage(current.sentAt, page);
+                             onPage(current, page);
                          } else if (page) {
+                             checkPeerEnd(current, page.value().end);
                              apply(newestOfEachKey(page.value().records), page.value().next);
                          }
                      });
@@ -230,6 +239,18 @@
         }
     }
 
+    // Drops a claim of another VM that a read refutes. Reads of the store are linearizable, so one
+    // that began after a true claim shows its records. A later claim of the same end counts anew.
+    auto checkPeerEnd(const Read &read, LogOffset end) -> void
+    {
+        if (read.number <= m_peerEndRead || end >= m_peerEnd) {
+            return;
+        }
+        logEvent(LogLevel::Warning, "topic-end-refuted",
+                 {{"topic", m_options.topic}, {"claimed", m_peerEnd}, {"end", end}});
+        m_peerEnd = end;
+    }
+
     // Applies the new records of an update. Returns false if earlier records are missing, or if the
     // update lacks new records of its range.
     auto applyRelayed(const TopicUpdate &update) -> bool
@@ -325,6 +346,7 @@
             return;
         }
         m_needsSnapshot = false;
+        checkPeerEnd(read, snapshot.value().end);
         // Records that were relayed meanwhile may be newer than the snapshot.
         if (!m_hasSnapshot || snapshot.value().end >= m_nextOffset) {
             m_hasSnapshot = true;
@@ -344,13 +366,14 @@
     // Returns an upper bound of the age of a page. The store answers a long poll as soon as it has
     // a record, at any time since the read was sent; only an empty page is known to be answered at
     // the end of the wait.
-    [[nodiscard]] auto ageOf(const KeyedPage &page, Duration elapsed) const -> milliseconds
+    [[nodiscard]] auto ageOf(const KeyedPage &page, const Read &read) const -> milliseconds
     {
-        const auto waited = page.records.empty() && elapsed >= m_options.wait;
-        return std::chrono::ceil<milliseconds>(waited ? elapsed - m_options.wait : elapsed);
+        const auto elapsed = m_loop.now() - read.sentAt;
+        const auto waited = page.records.empty() && elapsed >= read.wait;
+        return std::chrono::ceil<milliseconds>(waited ? elapsed - read.wait : elapsed);
     }
 
-    auto onPage(TimePoint sentAt, const Settled<KeyedPage> &page) -> void
+    auto onPage(const Read &read, const Settled<KeyedPage> &page) -> void
     {
         if (!page) {
             onFailedPage(page.error());
@@ -359,7 +382,8 @@
         m_consecutiveFailures = 0;
         m_replaced = 0;
         m_hadGap = false;
-        const auto age = ageOf(page.value(), m_loop.now() - sentAt);
+        checkPeerEnd(read, page.value().end);
+        const auto age = ageOf(page.value(), read);
         const auto next = page.value().next;
         const auto records = newestOfEachKey(page.value().records);
         if (shouldRelay(next)) {
@@ -373,8 +397,8 @@
             return;
         }
         m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
-        m_handlers.onRead(sentAt, m_nextOffset);
-        const auto pause = m_options.pause - (m_loop.now() - sentAt);
+        m_handlers.onRead(read.sentAt, m_nextOffset);
+        const auto pause = m_options.pause - (m_loop.now() - read.sentAt);
         scheduleRead(std::max<Duration>(Duration::zero(), pause));
     }
 
@@ -409,7 +433,8 @@
     RelaySchedule m_schedule;
     Timer m_timer;
     Timer m_catchUpTimer;
-    LogOffset m_peerEnd = 0; ///< highest end offset that another VM reported
+    LogOffset m_peerEnd = 0; ///< highest end offset that another VM reported and no read refuted
+    std::uint64_t m_peerEndRead = 0; ///< number of the last read before that report
     TimePoint m_behindSince; ///< since when this VM has known that another one has read more
     bool m_hasSnapshot = false; ///< a snapshot was read at least once
     bool m_needsSnapshot = true; ///< the next read is one of the snapshot
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -20,8 +20,9 @@
         : m_loop(loop)
     { }
 
-    auto read(const ReadRequest &, std::function<void(Settled<KeyedPage>)> callback) -> void
+    auto read(const ReadRequest &request, std::function<void(Settled<KeyedPage>)> callback) -> void
     {
+        m_lastRead = request;
         m_reads.push_back(m_loop.now());
         m_latePage = std::exchange(m_page, std::move(callback));
     }
@@ -58,6 +59,10 @@
     {
         return m_page != nullptr;
     }
+    [[nodiscard]] auto lastRead() const -> const ReadRequest &
+    {
+        return m_lastRead;
+    }
     [[nodiscard]] auto awaitsSnapshot() const -> bool
     {
         return m_snapshot != nullptr;
@@ -69,6 +74,7 @@
 
 private:
     EventLoop &m_loop;
+    ReadRequest m_lastRead;
     std::vector<TimePoint> m_reads;
     std::vector<TimePoint> m_snapshotReads;
     std::function<void(Settled<KeyedPage>)> m_page;
@@ -105,6 +111,13 @@
     {
         return figlanding::testing::runUntil(loop, condition, limit);
     }
+    // Answers the read in flight with no record beyond @p end, and waits for the next read.
+    auto respondEmpty(LogOffset end) -> void
+    {
+        store.respond(Settled<KeyedPage>(KeyedPage{.end = end, .next = store.lastRead().from}));
+        REQUIRE(runUntil([&] { return store.awaitsPage() || store.awaitsSnapshot(); },
+                         milliseconds(3000)));
+    }
     auto fail(ErrorCode code) -> void
     {
         if (store.awaitsPage()) {
@@ -280,3 +293,68 @@
     REQUIRE(following.relayed.size() == 1);
     CHECK(following.relayed[0].age >= milliseconds(650));
 }
+
+TEST_CASE("a VM that hears of records which the topic never had is current again after a read")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    const auto &follower = following.follower;
+    following.follower.onPeerEnd(1'000'000);
+    following.respondEmpty(10); // this read began before and may have missed the records
+    CHECK_FALSE(follower.isCurrent(seconds(5)));
+    CHECK(follower.isBehind(Duration::zero()));
+    following.respondEmpty(10);
+    CHECK(follower.isCurrent(seconds(5)));
+    CHECK_FALSE(follower.isBehind(Duration::zero()));
+}
+
+TEST_CASE("a false end does not hide a true one that is heard later")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    const auto &follower = following.follower;
+    following.follower.onPeerEnd(1'000'000);
+    following.respondEmpty(10);
+    following.respondEmpty(10);
+    REQUIRE(follower.isCurrent(seconds(5)));
+    following.follower.onPeerEnd(12);
+    CHECK_FALSE(follower.isCurrent(seconds(5)));
+    following.respondEmpty(10);
+    CHECK_FALSE(follower.isCurrent(seconds(5)));
+    following.store.respond(Settled<KeyedPage>(
+        KeyedPage{.end = 12, .next = 12, .records = {{.offset = 10}, {.offset = 11}}}));
+    CHECK(follower.isCurrent(seconds(5)));
+}
+
+TEST_CASE("a claim that grows while a read runs is not refuted by that read")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    following.follower.onPeerEnd(11);
+    following.respondEmpty(10);
+    following.follower.onPeerEnd(12);
+    following.respondEmpty(10);
+    CHECK_FALSE(following.follower.isCurrent(seconds(5)));
+}
+
+TEST_CASE("a snapshot that began after the claim refutes it as well")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    following.follower.onPeerEnd(1'000'000);
+    following.fail(ErrorCode::OffsetGap);
+    REQUIRE(
+        following.runUntil([&] { return following.store.awaitsSnapshot(); }, milliseconds(1000)));
+    following.store.respond(Settled<KeyedSnapshot>(KeyedSnapshot{.end = 10}));
+    CHECK(following.follower.isCurrent(seconds(5)));
+}
+
+TEST_CASE("a VM that reads records which another one has does not wait for further ones")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    CHECK(following.store.lastRead().wait == milliseconds(200));
+    following.follower.onPeerEnd(12);
+    following.respondEmpty(10);
+    CHECK(following.store.lastRead().wait == milliseconds(0));
+}
