--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -164,6 +164,7 @@
     {
         std::uint64_t number = 0;
         TimePoint sentAt;
+        LogOffset from = 0; ///< offset after the last record applied when the read began
         milliseconds wait{}; ///< long polling; not for snapshots
     };
 
@@ -181,7 +182,8 @@
         m_unanswered += 1;
         // Records that another VM has exist already, unless its claim is false.
         const auto wait = m_peerEnd > m_nextOffset ? milliseconds(0) : m_options.wait;
-        const auto current = Read{.number = ++m_readNumber, .sentAt = m_sentAt, .wait = wait};
+        const auto current =
+            Read{.number = ++m_readNumber, .sentAt = m_sentAt, .from = m_nextOffset, .wait = wait};
         if (m_needsSnapshot) {
             m_store.readNewest({.topic = m_options.topic,
                                 .freshConnection = freshConnection,
@@ -347,8 +349,10 @@
         }
         m_needsSnapshot = false;
         checkPeerEnd(read, snapshot.value().end);
-        // Records that were relayed meanwhile may be newer than the snapshot.
-        if (!m_hasSnapshot || snapshot.value().end >= m_nextOffset) {
+        // Records that were relayed meanwhile may be newer than the snapshot. Those from before the
+        // read are part of it, unless their offsets were false.
+        if (!m_hasSnapshot || snapshot.value().end >= m_nextOffset
+            || snapshot.value().end < read.from) {
             m_hasSnapshot = true;
             m_nextOffset = snapshot.value().end;
             m_handlers.onSnapshot(snapshot.value().records);
@@ -383,6 +387,10 @@
         m_replaced = 0;
         m_hadGap = false;
         checkPeerEnd(read, page.value().end);
+        if (page.value().end < read.from) {
+            onFalseOffset(read.from, page.value().end);
+            return;
+        }
         const auto age = ageOf(page.value(), read);
         const auto next = page.value().next;
         const auto records = newestOfEachKey(page.value().records);
@@ -402,6 +410,17 @@
         scheduleRead(std::max<Duration>(Duration::zero(), pause));
     }
 
+    // Relayed updates named offsets that the topic does not have. Records that it appends below
+    // them would be skipped, so the view starts anew from a snapshot.
+    auto onFalseOffset(LogOffset applied, LogOffset end) -> void
+    {
+        logEvent(LogLevel::Warning, "topic-offset-false",
+                 {{"topic", m_options.topic}, {"applied", applied}, {"end", end}});
+        m_needsSnapshot = true;
+        m_confirmedAt = TimePoint{};
+        m_timer.startOnce(Duration::zero());
+    }
+
     // After a gap or a timeout, the next read is one of the snapshot: over a slow link a long
     // backlog may not arrive in time, while the newest record of each key does. Relayed records are
     // still applied until then.
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -358,3 +358,22 @@
     following.respondEmpty(10);
     CHECK(following.store.lastRead().wait == milliseconds(0));
 }
+
+TEST_CASE("a relayed update past the end of the topic does not hide the records that follow")
+{
+    auto following = Following{};
+    following.startAndFail(0);
+    const auto &follower = following.follower;
+    following.follower.onRelayReceived({.topic = "t", .from = 10, .next = 1'000'000});
+    following.respondEmpty(10); // this read began before the update
+    REQUIRE(following.store.awaitsPage());
+    following.respondEmpty(11);
+    CHECK_FALSE(follower.isCurrent(seconds(5)));
+    REQUIRE(following.store.awaitsSnapshot());
+    following.store.respond(Settled<KeyedSnapshot>(KeyedSnapshot{.end = 11}));
+    CHECK(following.snapshots == 2);
+    CHECK(follower.end() == 11);
+    CHECK(follower.isCurrent(seconds(5)));
+    REQUIRE(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(3000)));
+    CHECK(following.store.lastRead().from == 11);
+}
