--- a/include/figlanding/gateway/caller_protocol.h
+++ b/include/figlanding/gateway/caller_protocol.h
@@ -46,6 +46,8 @@
     NotRun, ///< the server reports that it did not run the request
     WrongServer, ///< not run: a different server responded, or one that does not own the key
     Foreign, ///< response to a different request, or not from the server
+    /// A rejection that may belong to no request. RequestPath sets it, see UnidentifiedRejections.
+    Unproven,
 };
 
 /// The parts of a server's response that the router evaluates.
@@ -54,6 +56,7 @@
     ResponseKind kind = ResponseKind::Foreign;
     std::optional<LoadReport> load;
     std::optional<ServerTerms> terms; ///< empty if another server may have responded
+    bool identified = false; ///< the response carries the id of the request
 
     auto operator==(const ServerResponse &) const -> bool = default;
 };
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -3,6 +3,7 @@
 #include "figlanding/gateway/caller_protocol.h"
 #include "figlanding/gateway/server_pauses.h"
 #include "figlanding/gateway/server_registry.h"
+#include "figlanding/gateway/unidentified_rejections.h"
 #include "gateway/active_request.h"
 #include "gateway/request_admission.h"
 #include "gateway/request_refusals.h"
@@ -122,6 +123,7 @@
     auto tick(TimePoint now) -> void
     {
         m_pauses.expire(now);
+        m_unidentifiedRejections.expire(now);
         auto due = std::vector<std::uint64_t>{};
         for (const auto &[number, active] : m_requests) {
             if (now >= active.deadline || isTooLong(active)
@@ -299,6 +301,8 @@
         }
         // A late second copy of the response to the earlier attempt has the id of this one as well.
         const auto sentBefore = active.server == incarnation;
+        const auto checks = m_unidentifiedRejections.takeNewConnection(
+            incarnation, active.route->repeatability, now);
         active.stage = Stage::AwaitingResponse;
         active.server = incarnation;
         active.sentAt = now;
@@ -315,7 +319,7 @@
                 {.server = incarnation.server, .timeLeft = timeLeft, .team = active.team}),
             {.timeout = timeLeft,
              .connectTimeout = m_options.connectTimeout,
-             .freshConnection = sentBefore,
+             .freshConnection = sentBefore || checks,
              .maxIdleAge = m_options.maxIdleAge,
              .correlationHeader = Protocol::idHeader(active.caller.id)},
             [this, number, attempt](HttpOutcome outcome) {
@@ -350,7 +354,7 @@
             retryOrRefuse(number, outcome.verdict);
             return;
         }
-        const auto response = Protocol::readResponse(outcome.response, active.caller.id);
+        const auto response = readResponse(active, outcome, now);
         m_slots.release(number,
                         {.end = slotEndOf(response.kind),
                          .elapsed = now - active.sentAt,
@@ -379,7 +383,33 @@
             active.record.detail = "response belongs to another request or another server";
             retryOrRefuse(number, Verdict::MayHaveRun);
             return;
+        case ResponseKind::Unproven:
+            active.record.detail = "rejection without an id on a kept connection, status "
+                + std::to_string(outcome.response.status);
+            // The caller of an idempotent request may repeat it in either case, and is told when.
+            retryOrRefuse(number,
+                          active.route->repeatability == Repeatability::AtMostOnce
+                              ? Verdict::MayHaveRun
+                              : Verdict::NotRun);
+            return;
+        }
+    }
+
+    // Evaluates a response. Of a rejection that may belong to no request, nothing is used.
+    auto readResponse(const ActiveRequest &active, const HttpOutcome &outcome, TimePoint now)
+        -> ServerResponse
+    {
+        auto response = Protocol::readResponse(outcome.response, active.caller.id);
+        const auto rejected =
+            response.kind == ResponseKind::NotRun || response.kind == ResponseKind::WrongServer;
+        if (!rejected || response.identified) {
+            return response;
+        }
+        // A server cannot return an id that the caller did not send.
+        if (!active.caller.id.empty()) {
+            m_unidentifiedRejections.add(active.server, outcome.newConnection, now);
         }
+        return outcome.newConnection ? response : ServerResponse{.kind = ResponseKind::Unproven};
     }
 
     // Takes over the terms that bind this VM; the limit goes to the VM that allocates the slots.
@@ -549,6 +579,7 @@
     RequestAdmission m_admission;
     RequestRetries m_retries;
     ServerPauses m_pauses;
+    UnidentifiedRejections m_unidentifiedRejections;
     std::map<std::uint64_t, ActiveRequest> m_requests;
     std::uint64_t m_nextNumber = 1;
     TimePoint m_stopAt = TimePoint::max();
--- a/src/gateway/slot_end_of.cpp
+++ b/src/gateway/slot_end_of.cpp
@@ -21,6 +21,8 @@
     case ResponseKind::WrongServer:
         return SlotEnd::Misdirected;
     case ResponseKind::NotRun:
+    // Its time is no sample of the service time, and a server that may shed load gets a short rest.
+    case ResponseKind::Unproven:
         return SlotEnd::Declined;
     }
     return SlotEnd::Failed;
--- a/tests/contract/platform_protocol_test.cpp
+++ b/tests/contract/platform_protocol_test.cpp
@@ -169,6 +169,17 @@
     CHECK(responseKind(200, coded) == ResponseKind::Foreign);
 }
 
+TEST_CASE("a response is identified by the request's own id only")
+{
+    const auto identified = [](HttpHeaders headers) {
+        return HttpProtocol::readResponse({.status = 503, .headers = std::move(headers)}, "id")
+            .identified;
+    };
+    CHECK(identified({{"x-not-executed", "1"}, {"x-request-id", "id"}}));
+    CHECK_FALSE(identified({{"x-not-executed", "1"}, {"x-request-id", "other"}}));
+    CHECK_FALSE(identified({{"x-not-executed", "1"}}));
+}
+
 TEST_CASE("a load report has three or four numbers")
 {
     const auto load = [](const char *text) {
--- a/tests/contract/request_path_test.cpp
+++ b/tests/contract/request_path_test.cpp
@@ -1,22 +1,21 @@
-#include "gateway/request_path.h"
+#include "one_vm.h"
 #include "raw_server.h"
-#include "run_until.h"
 
 #include <doctest/doctest.h>
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 using namespace figlanding;
+using figlanding::testing::incarnationOf;
+using figlanding::testing::keyedState;
+using figlanding::testing::OneVm;
 using figlanding::testing::RawAction;
 using figlanding::testing::RawServer;
 
 namespace {
 
-const auto service = ServiceId("rooms");
-
 struct PlainProtocol
 {
     static auto readRequest(const HttpRequest & /*request*/) -> CallerRequest
@@ -31,7 +30,8 @@
     static auto readResponse(const HttpResponse &response, const std::string & /*id*/)
         -> ServerResponse
     {
-        return {.kind = response.status == 421 ? ResponseKind::WrongServer : ResponseKind::Success};
+        return {.kind = response.status == 421 ? ResponseKind::WrongServer : ResponseKind::Success,
+                .identified = response.headers.find("x-id").has_value()};
     }
     static auto promisesNotRun(const HttpResponse &response) -> bool
     {
@@ -83,103 +83,11 @@
     std::unique_ptr<HttpServer> m_server;
 };
 
-auto keyedState(std::uint32_t maxAttempts) -> std::shared_ptr<const DesiredStateIndex>
-{
-    return std::make_shared<const DesiredStateIndex>(
-        DesiredState{.version = 1,
-                     .routes = {{.id = RouteId("r"),
-                                 .host = "h",
-                                 .pathPrefix = "/",
-                                 .timeout = milliseconds(5000),
-                                 .latencyObjective = milliseconds(4000),
-                                 .maxAttempts = maxAttempts,
-                                 .open = true,
-                                 .services = {{.service = service}}}},
-                     .services = {{.id = service, .keyed = true}}});
-}
-
-auto incarnationOf(const char *name) -> ServerIncarnation
-{
-    return {.server = BackendServerId(name), .startedUnixMs = 1};
-}
-
-// A VM that sends requests for a key to the key's owner, and its callers.
-struct OneVm
-{
-    explicit OneVm(std::uint32_t maxAttempts)
-        : state(keyedState(maxAttempts))
-    {
-        ticker.startRepeating(milliseconds(5));
-    }
-    auto addServer(const char *name, const SocketAddress &address) -> void
-    {
-        registry.announce({.id = BackendServerId(name),
-                           .startedUnixMs = 1,
-                           .service = service,
-                           .address = address,
-                           .slots = 1,
-                           .sequence = 1},
-                          loop.now());
-        slots.setServers(registry, {});
-    }
-    auto call() -> void
-    {
-        const auto request = HttpRequest{.method = "GET", .target = "/", .headers = {}, .body = {}};
-        caller.call(
-            {.ip = "127.0.0.1", .port = callers->port()}, request, {},
-            [this](const HttpOutcome &outcome) { statuses.push_back(outcome.response.status); });
-    }
-    auto runUntil(const std::function<bool()> &condition) -> bool
-    {
-        return figlanding::testing::runUntil(loop, condition, seconds(2));
-    }
-
-    EventLoop loop;
-    std::shared_ptr<const DesiredStateIndex> state;
-    ServerRegistry registry;
-    ServerIncarnation owner = incarnationOf("s1");
-    FleetView view{VmId("vm"), 1.0, {}};
-    HttpClient client{loop, {}};
-    TeamLimits limits{{}};
-    SlotClient slots{
-        {.self = VmId("vm")},
-        view,
-        {.send = [](const auto &, const auto &) {},
-         .onDecision = [this](auto ticket,
-                              const auto &outcome) { path.onSlotDecision(ticket, outcome); }}};
-    RequestPath<PlainProtocol> path{
-        loop,
-        client,
-        slots,
-        limits,
-        {},
-        {.state = [this] { return state; },
-         .registry = [this]() -> const ServerRegistry & { return registry; },
-         .owner = [this](const auto &, auto) { return owner; },
-         .onKey = [](const auto &, auto) {},
-         .fleetSize = [] { return 1.0; },
-         .onStaleOwner = [] {},
-         .onEnd = [](const auto &) {}}};
-    Timer ticker{loop, [this] {
-                     slots.tick(loop.now());
-                     path.tick(loop.now());
-                 }};
-    std::unique_ptr<HttpServer> callers = valueOrElse(
-        [this] {
-            return HttpServer::listen(
-                loop, {.address = {.ip = "127.0.0.1"}},
-                [this](HttpExchange exchange) { path.handle(std::move(exchange)); });
-        },
-        [](const Error &) { return std::unique_ptr<HttpServer>(); });
-    HttpClient caller{loop, {}};
-    std::vector<int> statuses;
-};
-
 } // namespace
 
 TEST_CASE("a request whose key moves while it waits for a slot is not sent to the earlier owner")
 {
-    auto vm = OneVm(1);
+    auto vm = OneVm<PlainProtocol>(keyedState(1));
     auto first = HoldingServer(vm.loop);
     auto second = HoldingServer(vm.loop);
     vm.addServer("s1", first.address());
@@ -206,7 +114,7 @@
                               {RawAction::Hold, {}}},
                              {{RawAction::ReadRequest, {}}, {RawAction::Send, success}},
                              {{RawAction::ReadRequest, {}}, {RawAction::Send, success}}});
-    auto vm = OneVm(3);
+    auto vm = OneVm<PlainProtocol>(keyedState(3));
     vm.addServer("s1", server.address());
     vm.call();
     CHECK(vm.runUntil([&] { return vm.statuses.size() == 1; }));
