--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -45,7 +45,7 @@
 {
 public:
     explicit SyncClient(HttpClientOptions options = {.maxBodyBytes = 1000})
-        : m_options(options)
+        : m_options(std::move(options))
     { }
     auto call(const SocketAddress &address, HttpRequest request,
               const HttpCallOptions &options = {}) -> HttpOutcome
@@ -400,8 +400,8 @@
 
 TEST_CASE("input on an idle connection is reported, its end is not")
 {
-    const auto rows =
-        std::vector<std::pair<RawStep, int>>{{send("late"), 1}, {step(RawAction::Close), 0}};
+    const auto rows = std::vector<std::pair<RawStep, std::size_t>>{{send("late"), 1},
+                                                                   {step(RawAction::Close), 0}};
     for (const auto &[late, reports] : rows) {
         auto server = RawServer(
             {{read(), send(okResponse), step(RawAction::Await), late, step(RawAction::Hold)},
