--- a/tests/contract/gateway_deployment.cpp
+++ b/tests/contract/gateway_deployment.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
 #include <utility>
 
 namespace figlanding::standins {
@@ -129,17 +130,31 @@
             BOOST_LEAF_CHECK(attempt());
             return true;
         },
-        [](const Error &) { return false; });
+        [](const Error &error) {
+            MESSAGE(error.detail);
+            return false;
+        });
 }
 
 auto GatewayDeployment::freeAddress() -> SocketAddress
 {
-    const auto socket = valueOrElse(
-        [] {
-            return listenOn({"127.0.0.1", 0});
-        },
-        [](const Error &) { return FileDescriptor{}; });
-    return {"127.0.0.1", localPort(socket.get())};
+    // Below the ephemeral ports: a connection of another process cannot take the port meanwhile.
+    constexpr auto firstPort = 20'000U;
+    constexpr auto ports = 10'000U;
+    static auto next = std::random_device{}() % ports;
+    for (;;) {
+        next = (next + 1) % ports;
+        const auto port = static_cast<std::uint16_t>(firstPort + next);
+        const auto isFree = valueOrElse(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(listenOn({"127.0.0.1", port}));
+                return true;
+            },
+            [](const Error &) { return false; });
+        if (isFree) {
+            return {"127.0.0.1", port};
+        }
+    }
 }
 
 auto GatewayDeployment::startVm() -> void
