--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -2,6 +2,8 @@
 
 #include "io/log.h"
 
+#include <string>
+
 namespace figlanding {
 
 namespace {
@@ -15,6 +17,13 @@
 
 } // namespace
 
+auto toText(const ServerRejection &rejection) -> std::string
+{
+    return std::to_string(rejection.status) + (rejection.identified ? " with-id" : " without-id")
+        + (rejection.firstOnConnection ? " new-connection" : " kept-connection") + " status-lines-"
+        + std::to_string(rejection.statusLines);
+}
+
 RequestLog::RequestLog(Metrics &metrics)
     : m_metrics(metrics)
 { }
@@ -43,6 +52,7 @@
               {"status", record.status},
               {"verdict", toText(record.verdict)},
               {"reason", record.refusal ? toText(*record.refusal) : std::string_view("answered")},
+              {"rejection", record.rejection ? toText(*record.rejection) : std::string()},
               {"body_end", record.bodyEnd ? toText(*record.bodyEnd) : std::string_view()},
               {"detail", record.detail},
               {"route", record.route.value()},
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -396,12 +396,18 @@
     }
 
     // Evaluates a response. Of a rejection that may belong to no request, nothing is used.
-    auto readResponse(const ActiveRequest &active, const HttpOutcome &outcome, TimePoint now)
+    auto readResponse(ActiveRequest &active, const HttpOutcome &outcome, TimePoint now)
         -> ServerResponse
     {
         auto response = Protocol::readResponse(outcome.response, active.caller.id);
         const auto rejected =
             response.kind == ResponseKind::NotRun || response.kind == ResponseKind::WrongServer;
+        if (rejected) {
+            active.record.rejection = {.status = outcome.response.status,
+                                       .identified = response.identified,
+                                       .firstOnConnection = outcome.newConnection,
+                                       .statusLines = outcome.statusLines};
+        }
         if (!rejected || response.identified) {
             return response;
         }
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -6,6 +6,7 @@
 #include "figlanding/refusal.h"
 #include "figlanding/verdict.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,6 +16,20 @@
 
 namespace figlanding {
 
+/// A response in which a server said that it did not run a request, and what supports it.
+struct ServerRejection
+{
+    int status = 0;
+    bool identified = false; ///< has the id of the request
+    bool firstOnConnection = false; ///< nothing of an earlier response can precede it
+    std::size_t statusLines = 1; ///< as ResponseHead::statusLines() states
+
+    auto operator==(const ServerRejection &) const -> bool = default;
+};
+
+/// Returns the status and what supports it, such as "503 with-id kept-connection status-lines-1".
+[[nodiscard]] auto toText(const ServerRejection &rejection) -> std::string;
+
 /// The outcome of a request and the facts that led to it.
 struct RequestRecord
 {
@@ -27,6 +42,7 @@
     int status = 0; ///< HTTP status of the response; 0 if the caller disconnected first
     Verdict verdict = Verdict::NotRun;
     std::optional<RefusalReason> refusal; ///< empty if a server responded
+    std::optional<ServerRejection> rejection; ///< the last one of a server
     std::optional<BodyEnd> bodyEnd; ///< of the server's response that was passed on
     Duration elapsed{}; ///< from receipt to completion
     Duration waited{}; ///< from receipt to the last send to a server
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -32,15 +32,6 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-auto trimmed(std::string_view text) -> std::string_view
-{
-    const auto first = text.find_first_not_of(" \t\r\n");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 auto equalsIgnoringCase(std::string_view text, std::string_view lowerCase) -> bool
 {
     return std::equal(text.begin(), text.end(), lowerCase.begin(), lowerCase.end(),
@@ -49,17 +40,6 @@
                       });
 }
 
-auto parseStatusCode(std::string_view statusLine) -> int
-{
-    const auto space = statusLine.find(' ');
-    auto status = 0;
-    if (space != std::string_view::npos) {
-        const auto digits = statusLine.substr(space + 1, 3);
-        std::from_chars(digits.data(), digits.data() + digits.size(), status);
-    }
-    return status;
-}
-
 auto parseLength(std::string_view text) -> std::optional<std::uint64_t>
 {
     auto value = std::uint64_t{0};
@@ -146,12 +126,13 @@
     m_lastByteAt = m_start;
     m_request = std::move(request);
     discardResponse();
+    m_head = ResponseHead{};
     m_headBytes = 0;
     m_bodyBytesReceived = 0;
     m_responseError.reset();
     m_openedSocket = -1;
     m_socket = -1;
-    m_newConnection = m_headersComplete = m_staleConnection = m_resendBlocked = false;
+    m_newConnection = m_staleConnection = m_resendBlocked = false;
 
     const auto url = "http://" + toText(address) + "/";
     curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
@@ -297,39 +278,19 @@
         m_responseError = tooLarge("header", m_maxHeadBytes);
         return false;
     }
-    if (m_headersComplete && m_response.status >= statusFirstFinal && line.starts_with("HTTP/")) {
-        m_responseError =
-            Error{.code = ErrorCode::ProtocolViolation, .detail = "answer within the trailers"};
+    m_registry.setUnanswered(m_socket, false);
+    const auto wasComplete = m_head.isComplete();
+    if (auto fault = m_head.add(line)) {
+        m_responseError = Error{.code = ErrorCode::ProtocolViolation, .detail = std::move(*fault)};
         return false;
     }
-    if (line.starts_with("HTTP/")) {
-        m_registry.setUnanswered(m_socket, false);
-        m_response.status = parseStatusCode(line);
-        m_response.headers = HttpHeaders{};
-        m_headersComplete = false;
-        return true;
-    }
-    if (m_headersComplete) {
-        return true; // a trailer
-    }
-    if (trimmed(line).empty()) {
-        return completeHead();
-    }
-    if (const auto colon = line.find(':'); colon != std::string_view::npos) {
-        const auto name = line.substr(0, colon);
-        if (name != trimmed(name)) {
-            m_responseError = Error{.code = ErrorCode::ProtocolViolation,
-                                    .detail = "answer has a space in a field name"};
-            return false;
-        }
-        m_response.headers.add(name, trimmed(line.substr(colon + 1)));
-    }
-    return true;
+    return wasComplete || !m_head.isComplete() || completeHead();
 }
 
 auto HttpTransfer::completeHead() -> bool
 {
-    m_headersComplete = true;
+    m_response.status = m_head.status();
+    m_response.headers = m_head.headers();
     m_responseError = headError();
     return !m_responseError;
 }
@@ -410,7 +371,7 @@
 // accepts such responses, but a router must not forward them as complete.
 auto HttpTransfer::framingError() const -> std::string
 {
-    if (!m_headersComplete) {
+    if (!m_head.isComplete()) {
         return "answer ends within its header";
     }
     const auto &headers = m_response.headers;
@@ -484,6 +445,7 @@
     auto outcome = HttpOutcome{};
     outcome.elapsed = now - m_start;
     outcome.newConnection = m_newConnection;
+    outcome.statusLines = m_head.statusLines();
     if (code != CURLE_OK) {
         outcome.error = toError(code);
         outcome.verdict = bytesSent() > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -3,6 +3,7 @@
 #include "io/connection_registry.h"
 #include "io/http_client.h"
 #include "io/response_budget.h"
+#include "io/response_head.h"
 
 #include <curl/curl.h>
 
@@ -106,13 +107,13 @@
     std::vector<std::string> m_headerLines;
     std::vector<curl_slist> m_headerNodes;
 
-    HttpResponse m_response;
+    ResponseHead m_head;
+    HttpResponse m_response; ///< with status and fields once the header is complete
     std::size_t m_headBytes = 0; ///< of all responses of the call, with their trailers
     std::uint64_t m_bodyBytesReceived = 0; ///< before chunked decoding
     int m_openedSocket = -1; ///< opened by this call and not registered yet
     int m_socket = -1; ///< carries the request
     bool m_newConnection = false;
-    bool m_headersComplete = false;
     bool m_staleConnection = false; ///< the reused connection is not reusable
     bool m_resendBlocked = false; ///< libcurl's automatic resend was prevented
     std::optional<Error> m_responseError; ///< why the client stopped reading the response
--- /dev/null
+++ b/src/io/response_head.cpp
@@ -0,0 +1,118 @@
+#include "io/response_head.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace figlanding {
+
+namespace {
+
+constexpr std::string_view protocolName = "HTTP/";
+constexpr int statusFirstFinal = 200;
+
+auto trimmed(std::string_view text) -> std::string_view
+{
+    const auto first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+auto isDigit(char character) -> bool
+{
+    return character >= '0' && character <= '9';
+}
+
+auto parseStatusCode(std::string_view statusLine) -> int
+{
+    const auto space = statusLine.find(' ');
+    auto status = 0;
+    if (space != std::string_view::npos) {
+        const auto digits = statusLine.substr(space + 1, 3);
+        std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    }
+    return status;
+}
+
+// Returns whether a text begins as a status line: "HTTP/1.1 200" and then a space or the line end.
+auto beginsWithStatusLine(std::string_view text) -> bool
+{
+    constexpr std::string_view shape = "HTTP/1.1 200";
+    if (text.size() < shape.size()) {
+        return false;
+    }
+    for (auto i = std::size_t{0}; i < shape.size(); ++i) {
+        if (isDigit(shape[i]) ? !isDigit(text[i]) : text[i] != shape[i]) {
+            return false;
+        }
+    }
+    return text.size() == shape.size()
+        || std::isspace(static_cast<unsigned char>(text[shape.size()]));
+}
+
+auto countStatusLines(std::string_view line) -> std::size_t
+{
+    auto count = std::size_t{0};
+    for (auto at = line.find(protocolName); at != std::string_view::npos;
+         at = line.find(protocolName, at + 1)) {
+        count += beginsWithStatusLine(line.substr(at)) ? 1U : 0U;
+    }
+    return count;
+}
+
+} // namespace
+
+auto ResponseHead::add(std::string_view line) -> std::optional<std::string>
+{
+    const auto startsResponse = line.starts_with(protocolName);
+    if (m_complete && isFinal()) {
+        return startsResponse ? std::optional<std::string>("answer within the trailers")
+                              : std::nullopt;
+    }
+    if (m_complete && startsResponse) {
+        m_statusLines = 0;
+    }
+    m_statusLines += countStatusLines(line);
+    if (startsResponse) {
+        begin(line);
+        return std::nullopt;
+    }
+    if (m_complete) {
+        return std::nullopt;
+    }
+    if (trimmed(line).empty()) {
+        m_complete = true;
+        return std::nullopt;
+    }
+    return addField(line);
+}
+
+auto ResponseHead::isFinal() const -> bool
+{
+    return m_status >= statusFirstFinal;
+}
+
+auto ResponseHead::begin(std::string_view statusLine) -> void
+{
+    m_status = parseStatusCode(statusLine);
+    m_headers = HttpHeaders{};
+    m_complete = false;
+}
+
+auto ResponseHead::addField(std::string_view line) -> std::optional<std::string>
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto name = line.substr(0, colon);
+    if (name != trimmed(name)) {
+        return "answer has a space in a field name";
+    }
+    m_headers.add(name, trimmed(line.substr(colon + 1)));
+    return std::nullopt;
+}
+
+} // namespace figlanding
