--- a/tests/contract/key_lease_client_test.cpp
+++ b/tests/contract/key_lease_client_test.cpp
@@ -128,6 +128,17 @@
     }
 }
 
+TEST_CASE("a rejection that may belong to no grant does not give keys on")
+{
+    const auto misdirected =
+        std::string("HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    auto calls = LeaseCalls({{read(), send(granted), read(), send(misdirected), hold()},
+                             {read(), send(misdirected), hold()}});
+    CHECK(calls.grant() == CommandOutcome::Accepted);
+    CHECK(calls.grant() == CommandOutcome::Lost);
+    CHECK(calls.grant() == CommandOutcome::OtherServer); // on a new connection
+}
+
 TEST_CASE("a late second copy of the response to a release is not taken for a granted lease")
 {
     auto calls = LeaseCalls({{read(), send(released("a")), read(), send(released("a")), hold()},
