--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -15,11 +15,15 @@
 constexpr int fenceConflictStatus = 409;
 constexpr std::string_view requestIdHeader = "figlanding-request-id";
 
-// Whether the server states that it did not run the request.
-auto isNotRunResponse(const HttpResponse &response) -> bool
+// Whether the server states that it did not run the request. Without the id of the request, the
+// response may be bytes that belong to none, unless it is the first one of its connection.
+auto isNotRunOutcome(const HttpOutcome &outcome, const std::string &requestId) -> bool
 {
-    return (response.status == 503 || response.status == fenceConflictStatus)
+    const auto &response = outcome.response;
+    const auto statesNotRun = (response.status == 503 || response.status == fenceConflictStatus)
         && response.headers.find("figlanding-not-run") == "true";
+    const auto id = response.headers.find(requestIdHeader);
+    return statesNotRun && (id ? *id == requestId : outcome.newConnection);
 }
 
 auto refusal(RefusalReason reason, std::string detail, Verdict verdict = Verdict::NotRun) -> Refusal
@@ -207,7 +211,7 @@
                Refusal{.reason = RefusalReason::AnswerLost,
                        .detail = describe(outcome.error),
                        .verdict = Verdict::MayHaveRun});
-    } else if (isNotRunResponse(outcome.response)) {
+    } else if (isNotRunOutcome(outcome, call.request.requestId)) {
         end(RequestEnd::Shed);
         // The server reports a fence conflict until it receives its grant, which is sent only after
         // the move is committed.
--- a/tests/contract/dispatcher_test.cpp
+++ b/tests/contract/dispatcher_test.cpp
@@ -1,10 +1,15 @@
 #include "daemon/dispatcher.h"
+#include "raw_server.h"
+#include "run_until.h"
 
 #include <doctest/doctest.h>
 
 #include <optional>
 
 using namespace figlanding;
+using figlanding::testing::RawAction;
+using figlanding::testing::RawServer;
+using figlanding::testing::runUntil;
 
 namespace {
 
@@ -36,11 +41,20 @@
             .http = {.method = "POST", .target = "/archive"}};
 }
 
-// A dispatcher whose event loop does not run, so that a request that was sent stays in flight.
+auto response(const std::string &head, const std::string &body = {}) -> figlanding::testing::RawStep
+{
+    return {RawAction::Send,
+            "HTTP/1.1 " + head + "content-length: " + std::to_string(body.size()) + "\r\n\r\n"
+                + body};
+}
+
+// A dispatcher with one server. Its event loop does not run unless a test runs it, so that a
+// request that was sent stays in flight.
 struct IdleDispatcher
 {
-    IdleDispatcher()
+    explicit IdleDispatcher(const SocketAddress &address = {.ip = "127.0.0.1", .port = 1})
     {
+        state.servers[server].object.address = address;
         dispatcher.onState({}, state, std::nullopt);
     }
     // Returns the number of the request, and sets result once it has one.
@@ -51,6 +65,7 @@
                                    [&](DispatchResult ended) { result = std::move(ended); });
     }
 
+    bool probed = false; // the server has answered a probe
     ClusterState state = oneServerState();
     EventLoop loop;
     HttpClient client{loop, {}};
@@ -59,7 +74,7 @@
                           {.self = self, .incarnation = incarnation, .timing = {}},
                           {.state = [this]() -> const ClusterState & { return state; },
                            .viewIsFresh = [] { return true; },
-                           .onBootId = [](const auto &, const auto &) {},
+                           .onBootId = [this](const auto &, const auto &) { probed = true; },
                            .onHandOver = [](const auto &, const auto &, const auto &) {},
                            .onCrash = [](const auto &) {},
                            .unixNow = [] { return milliseconds(0); }}};
@@ -84,3 +99,29 @@
     CHECK_FALSE(running);
     CHECK_FALSE(cancelled);
 }
+
+TEST_CASE("a rejection without the id of the request does not say that the request did not run")
+{
+    const auto readRequest = figlanding::testing::RawStep{RawAction::ReadRequest, {}};
+    const auto hold = figlanding::testing::RawStep{RawAction::Hold, {}};
+    for (const auto *id :
+         {"", "figlanding-request-id: request-0\r\n", "figlanding-request-id: request-1\r\n"}) {
+        CAPTURE(id);
+        const auto rejection = response(
+            std::string("503 Service Unavailable\r\nfiglanding-not-run: true\r\n").append(id));
+        auto raw = RawServer({{readRequest, response("200 OK\r\n", R"({"boot_id":"b"})"),
+                               readRequest, rejection, hold}});
+        auto running = IdleDispatcher(raw.address());
+        REQUIRE(runUntil(
+            running.loop, [&] { return running.probed; }, seconds(2)));
+        auto result = std::optional<DispatchResult>();
+        running.dispatch(postWithKey("request-1", ""), result);
+        REQUIRE(runUntil(
+            running.loop, [&] { return result.has_value(); }, seconds(2)));
+        REQUIRE(std::holds_alternative<Refusal>(*result));
+        const auto expected = std::string(id).find("request-1") == std::string::npos
+            ? Verdict::MayHaveRun
+            : Verdict::NotRun;
+        CHECK(std::get<Refusal>(*result).verdict == expected);
+    }
+}
