--- a/include/figlanding/gateway/connection_trust.h
+++ b/include/figlanding/gateway/connection_trust.h
@@ -37,11 +37,12 @@
 public:
     explicit ConnectionTrust(const ConnectionTrustOptions &options = {});
 
-    /// Records a rejection without an id. If too many servers are remembered, the one of which
-    /// nothing was recorded for the longest time is forgotten; so it is for the next function.
+    /// Records a rejection without an id. If too many servers are remembered, the one whose last
+    /// record is the oldest is forgotten.
     /// @param proven whether it was the first response of its connection
     auto addRejection(const ServerIncarnation &server, bool proven, TimePoint now) -> void;
-    /// Records a response that belongs to another request or breaks the rules of HTTP.
+    /// Records a response that belongs to another request or breaks the rules of HTTP. The limit
+    /// for the servers holds as for rejections.
     auto addViolation(const ServerIncarnation &server, TimePoint now) -> void;
     /// Returns whether the next request to a server needs a new connection. For an idempotent one,
     /// that is so once after each unproven rejection.
--- a/src/core/response_head.cpp
+++ b/src/core/response_head.cpp
@@ -1,6 +1,5 @@
 #include "figlanding/response_head.h"
 
-#include <algorithm>
 #include <cctype>
 #include <charconv>
 
