--- a/tests/contract/mixed_header_test.cpp
+++ b/tests/contract/mixed_header_test.cpp
@@ -22,7 +22,7 @@
                 + "\r\nX-Upstream-Signature: d\r\nContent-Length: 0\r\n\r\n");
 }
 
-// Sends a second request, and to its caller the bytes and then the response on the same connection.
+// A second request, for which the server sends bytes and then the response on a kept connection.
 struct SecondResponse
 {
     SecondResponse(const std::string &bytes, const RawStep &response, Repeatability repeatability)
--- a/tests/contract/rejection_without_id_test.cpp
+++ b/tests/contract/rejection_without_id_test.cpp
@@ -38,10 +38,9 @@
 
 TEST_CASE("a caller is not told that an idempotent request did not run if that is unproven")
 {
-    // Each of the three attempts meets bytes that look like a rejection, and runs all the same.
-    const auto connection = RawScript{readRequest, success("a"), readRequest, rejection(503), hold};
-    auto server = RawServer({connection, {readRequest, rejection(503), hold}});
-    const auto played = PlayedRequests(server, Repeatability::Idempotent, {"a", "b"}, 1);
+    auto server = RawServer({{readRequest, success("a"), readRequest, rejection(503), hold}});
+    constexpr auto maxAttempts = 1U;
+    const auto played = PlayedRequests(server, Repeatability::Idempotent, {"a", "b"}, maxAttempts);
     CHECK(played.statuses() == "200 502 ");
 }
 
