--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -20,7 +20,8 @@
 auto toText(const ServerRejection &rejection) -> std::string
 {
     return std::to_string(rejection.status) + (rejection.identified ? " with-id" : " without-id")
-        + (rejection.firstOnConnection ? " new-connection" : " kept-connection");
+        + (rejection.firstOnConnection ? " new-connection" : " kept-connection")
+        + (rejection.repeatedOnConnection ? " repeated-on-connection" : "");
 }
 
 RequestLog::RequestLog(Metrics &metrics)
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -404,7 +404,8 @@
         if (rejected) {
             active.record.rejection = {.status = outcome.response.status,
                                        .identified = response.identified,
-                                       .firstOnConnection = outcome.newConnection};
+                                       .firstOnConnection = outcome.newConnection,
+                                       .repeatedOnConnection = outcome.repeatedOnConnection};
         }
         if (!rejected || response.identified) {
             return response;
--- a/src/io/connection_registry.cpp
+++ b/src/io/connection_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <functional>
 #include <utility>
@@ -95,6 +96,25 @@
     return entry != m_entries.end() && entry->second.unanswered;
 }
 
+auto ConnectionRegistry::addRequest(int fd, std::string_view requestId) -> void
+{
+    const auto entry = m_entries.find(fd);
+    if (entry != m_entries.end()) {
+        entry->second.requests.push_back(std::hash<std::string_view>{}(requestId));
+    }
+}
+
+auto ConnectionRegistry::hasCarried(int fd, std::string_view requestId) const -> bool
+{
+    const auto entry = m_entries.find(fd);
+    if (entry == m_entries.end()) {
+        return false;
+    }
+    const auto &requests = entry->second.requests;
+    return std::find(requests.begin(), requests.end(), std::hash<std::string_view>{}(requestId))
+        != requests.end();
+}
+
 auto ConnectionRegistry::reusable(int fd, TimePoint now, Duration maxIdleAge) const -> bool
 {
     const auto entry = m_entries.find(fd);
--- a/src/io/connection_registry.h
+++ b/src/io/connection_registry.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -48,6 +49,11 @@
     auto setUnanswered(int fd, bool unanswered) -> void;
     /// Returns whether the request on @p fd is unanswered.
     [[nodiscard]] auto unanswered(int fd) const -> bool;
+    /// Records that a request with the id @p requestId is sent on @p fd.
+    auto addRequest(int fd, std::string_view requestId) -> void;
+    /// Returns whether a request with the id @p requestId was sent on @p fd before. Other ids may
+    /// rarely be mistaken for it.
+    [[nodiscard]] auto hasCarried(int fd, std::string_view requestId) const -> bool;
     /// Returns whether @p fd can carry a new request: it has no unread input, the peer has not
     /// closed it, and its last call ended at most @p maxIdleAge before @p now.
     [[nodiscard]] auto reusable(int fd, TimePoint now, Duration maxIdleAge) const -> bool;
@@ -59,6 +65,7 @@
         TimePoint lastUsed;
         bool idle = false;
         bool unanswered = false;
+        std::vector<std::size_t> requests; ///< hashes of the ids of all requests sent so far
     };
     struct EndpointsHash
     {
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -59,6 +59,8 @@
     bool connectionRefused = false; ///< connecting failed with ECONNREFUSED
     Duration elapsed{}; ///< from call() to the result
     bool newConnection = false; ///< the request was sent on a connection opened by this call
+    /// The connection has carried an earlier request with the same value of the correlation header.
+    bool repeatedOnConnection = false;
 };
 
 /// Options of a client.
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -132,7 +132,7 @@
     m_responseError.reset();
     m_openedSocket = -1;
     m_socket = -1;
-    m_newConnection = m_staleConnection = m_resendBlocked = false;
+    m_newConnection = m_repeatedOnConnection = m_staleConnection = m_resendBlocked = false;
 
     const auto url = "http://" + toText(address) + "/";
     curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
@@ -258,18 +258,28 @@
         m_socket = std::exchange(m_openedSocket, -1);
         m_newConnection = true;
         m_registry.add(std::move(endpoints), m_socket);
-        m_registry.setUnanswered(m_socket, true);
+        recordRequest();
         return true;
     }
     m_socket = m_registry.find(endpoints);
     m_staleConnection = !m_registry.reusable(m_socket, MonotonicClock::now(), m_options.maxIdleAge);
     if (!m_staleConnection) {
         m_registry.setBusy(m_socket);
-        m_registry.setUnanswered(m_socket, true);
+        recordRequest();
     }
     return !m_staleConnection;
 }
 
+// Records that the request is sent on m_socket.
+auto HttpTransfer::recordRequest() -> void
+{
+    m_registry.setUnanswered(m_socket, true);
+    if (const auto &id = m_options.correlationHeader; id && !id->second.empty()) {
+        m_repeatedOnConnection = m_registry.hasCarried(m_socket, id->second);
+        m_registry.addRequest(m_socket, id->second);
+    }
+}
+
 // Processes one line of a response header or trailer. Returns false if the call must end.
 auto HttpTransfer::appendHeaderLine(std::string_view line) -> bool
 {
@@ -445,6 +455,7 @@
     auto outcome = HttpOutcome{};
     outcome.elapsed = now - m_start;
     outcome.newConnection = m_newConnection;
+    outcome.repeatedOnConnection = m_repeatedOnConnection;
     if (code != CURLE_OK) {
         outcome.error = toError(code);
         outcome.verdict = bytesSent() > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -67,6 +67,7 @@
     [[nodiscard]] auto longestTime() const -> milliseconds;
     auto recordProgress() -> void;
     auto admitConnection(ConnectionEndpoints endpoints) -> bool;
+    auto recordRequest() -> void;
     auto appendHeaderLine(std::string_view line) -> bool;
     auto completeHead() -> bool;
     [[nodiscard]] auto framingTooLarge() const -> bool;
@@ -114,6 +115,7 @@
     int m_openedSocket = -1; ///< opened by this call and not registered yet
     int m_socket = -1; ///< carries the request
     bool m_newConnection = false;
+    bool m_repeatedOnConnection = false; ///< its id was sent on the connection before
     bool m_staleConnection = false; ///< the reused connection is not reusable
     bool m_resendBlocked = false; ///< libcurl's automatic resend was prevented
     std::optional<Error> m_responseError; ///< why the client stopped reading the response
