--- a/tests/contract/one_vm.h
+++ b/tests/contract/one_vm.h
@@ -44,8 +44,10 @@
 template <CallerProtocol Protocol>
 struct OneVm
 {
-    explicit OneVm(std::shared_ptr<const DesiredStateIndex> newState)
-        : state(std::move(newState))
+    explicit OneVm(std::shared_ptr<const DesiredStateIndex> newState,
+                   const RequestPathOptions &pathOptions = {})
+        : options(pathOptions)
+        , state(std::move(newState))
     {
         ticker.startRepeating(milliseconds(5));
     }
@@ -73,6 +75,7 @@
         return figlanding::testing::runUntil(loop, condition, seconds(2));
     }
 
+    RequestPathOptions options;
     EventLoop loop;
     std::shared_ptr<const DesiredStateIndex> state;
     ServerRegistry registry;
@@ -90,7 +93,7 @@
                                client,
                                slots,
                                limits,
-                               {},
+                               options,
                                {.state = [this] { return state; },
                                 .registry = [this]() -> const ServerRegistry & { return registry; },
                                 .owner = [this](const auto &, auto) { return owner; },
