--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -20,8 +20,7 @@
 auto toText(const ServerRejection &rejection) -> std::string
 {
     return std::to_string(rejection.status) + (rejection.identified ? " with-id" : " without-id")
-        + (rejection.firstOnConnection ? " new-connection" : " kept-connection")
-        + (rejection.repeatedOnConnection ? " repeated-on-connection" : "");
+        + (rejection.firstOnConnection ? " new-connection" : " kept-connection");
 }
 
 RequestLog::RequestLog(Metrics &metrics)
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -299,9 +299,7 @@
             active.dispatchAt = now;
             return;
         }
-        // A late second copy of the response to the earlier attempt has the id of this one as well.
-        const auto sentBefore = active.server == incarnation;
-        const auto checks =
+        const auto freshConnection =
             m_connectionTrust.takeNewConnection(incarnation, active.route->repeatability, now);
         active.stage = Stage::AwaitingResponse;
         active.server = incarnation;
@@ -319,7 +317,7 @@
                 {.server = incarnation.server, .timeLeft = timeLeft, .team = active.team}),
             {.timeout = timeLeft,
              .connectTimeout = m_options.connectTimeout,
-             .freshConnection = sentBefore || checks,
+             .freshConnection = freshConnection,
              .maxIdleAge = m_options.maxIdleAge,
              .correlationHeader = Protocol::idHeader(active.caller.id)},
             [this, number, attempt](HttpOutcome outcome) {
@@ -404,17 +402,16 @@
         if (rejected) {
             active.record.rejection = {.status = outcome.response.status,
                                        .identified = response.identified,
-                                       .firstOnConnection = outcome.newConnection,
-                                       .repeatedOnConnection = outcome.repeatedOnConnection};
+                                       .firstOnConnection = outcome.newConnection};
         }
-        if (!rejected || response.identified) {
+        if (!rejected) {
             return response;
         }
         // A server cannot return an id that the caller did not send.
-        if (!active.caller.id.empty()) {
+        if (!response.identified && !active.caller.id.empty()) {
             m_connectionTrust.addRejection(active.server, outcome.newConnection, now);
         }
-        return outcome.newConnection ? response : ServerResponse{.kind = ResponseKind::Unproven};
+        return outcome.attributed ? response : ServerResponse{.kind = ResponseKind::Unproven};
     }
 
     // Takes over the terms that bind this VM; the limit goes to the VM that allocates the slots.
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -21,7 +21,6 @@
     int status = 0;
     bool identified = false; ///< has the id of the request
     bool firstOnConnection = false; ///< nothing of an earlier response can precede it
-    bool repeatedOnConnection = false; ///< the request was sent on its connection before
 
     auto operator==(const ServerRejection &) const -> bool = default;
 };
--- a/src/io/connection_registry.cpp
+++ b/src/io/connection_registry.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t maxRequestsPerConnection = 1024; ///< that have an id; 8 KiB
+
 // Looks for unread input. Returns 1 if there is some, 0 at its end, -1 if there is none yet.
 auto peek(int fd) -> ssize_t
 {
@@ -104,15 +106,16 @@
     }
 }
 
-auto ConnectionRegistry::hasCarried(int fd, std::string_view requestId) const -> bool
+auto ConnectionRegistry::distinguishes(int fd, std::string_view requestId) const -> bool
 {
     const auto entry = m_entries.find(fd);
     if (entry == m_entries.end()) {
         return false;
     }
     const auto &requests = entry->second.requests;
-    return std::find(requests.begin(), requests.end(), std::hash<std::string_view>{}(requestId))
-        != requests.end();
+    return requests.size() < maxRequestsPerConnection
+        && std::find(requests.begin(), requests.end(), std::hash<std::string_view>{}(requestId))
+        == requests.end();
 }
 
 auto ConnectionRegistry::reusable(int fd, TimePoint now, Duration maxIdleAge) const -> bool
--- a/src/io/connection_registry.h
+++ b/src/io/connection_registry.h
@@ -51,9 +51,10 @@
     [[nodiscard]] auto unanswered(int fd) const -> bool;
     /// Records that a request with the id @p requestId is sent on @p fd.
     auto addRequest(int fd, std::string_view requestId) -> void;
-    /// Returns whether a request with the id @p requestId was sent on @p fd before. Other ids may
-    /// rarely be mistaken for it.
-    [[nodiscard]] auto hasCarried(int fd, std::string_view requestId) const -> bool;
+    /// Returns whether a response on @p fd that has the id @p requestId would belong to a request
+    /// that is sent now: none with that id was sent on it. False as well, though rarely, for an id
+    /// that was not sent, and once too many ids would have to be remembered.
+    [[nodiscard]] auto distinguishes(int fd, std::string_view requestId) const -> bool;
     /// Returns whether @p fd can carry a new request: it has no unread input, the peer has not
     /// closed it, and its last call ended at most @p maxIdleAge before @p now.
     [[nodiscard]] auto reusable(int fd, TimePoint now, Duration maxIdleAge) const -> bool;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -41,7 +41,9 @@
     milliseconds maxIdleAge{10000}; ///< a connection idle for longer is not reused
     /// Name and expected value of a response header that correlates the response with its request.
     /// A response without the header is accepted. One with another value belongs to another
-    /// request: the call fails with ProtocolViolation and the connection is closed.
+    /// request: the call fails with ProtocolViolation and the connection is closed. A call does not
+    /// use a connection that has carried a request with the same value, where a copy of an earlier
+    /// response could not be told from its own. An empty value correlates nothing.
     std::optional<std::pair<std::string, std::string>> correlationHeader = std::nullopt;
     /// Returns whether the head of a final response can be one to this request, for protocols whose
     /// responses carry no id. Others fail the call as above. Must not use the client; may be empty.
@@ -59,8 +61,10 @@
     bool connectionRefused = false; ///< connecting failed with ECONNREFUSED
     Duration elapsed{}; ///< from call() to the result
     bool newConnection = false; ///< the request was sent on a connection opened by this call
-    /// The connection has carried an earlier request with the same value of the correlation header.
-    bool repeatedOnConnection = false;
+    /// The response can only be the one to this request: either it is the first one of its
+    /// connection, or it has the value of the correlation header, which no earlier request on that
+    /// connection had.
+    bool attributed = false;
 };
 
 /// Options of a client.
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -132,7 +132,7 @@
     m_responseError.reset();
     m_openedSocket = -1;
     m_socket = -1;
-    m_newConnection = m_repeatedOnConnection = m_staleConnection = m_resendBlocked = false;
+    m_newConnection = m_connectionDeclined = m_resendBlocked = false;
 
     const auto url = "http://" + toText(address) + "/";
     curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
@@ -147,7 +147,7 @@
 
 auto HttpTransfer::prepareRetry() -> void
 {
-    m_staleConnection = false;
+    m_connectionDeclined = false;
     m_socket = -1;
     curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
     setTimeouts(longestTime() - (MonotonicClock::now() - m_start));
@@ -155,7 +155,7 @@
 
 auto HttpTransfer::shouldRetry() const -> bool
 {
-    return m_staleConnection && bytesSent() == 0
+    return m_connectionDeclined && bytesSent() == 0
         && MonotonicClock::now() - m_start < m_options.timeout;
 }
 
@@ -247,7 +247,7 @@
 }
 
 // Returns whether the request may be sent on the connection that libcurl chose. Called immediately
-// before libcurl writes the request. Aborts a resend and the reuse of a stale connection.
+// before libcurl writes the request. Aborts a resend and the use of a declined connection.
 auto HttpTransfer::admitConnection(ConnectionEndpoints endpoints) -> bool
 {
     if (bytesSent() > 0) {
@@ -255,28 +255,34 @@
         return false;
     }
     if (m_openedSocket >= 0) {
-        m_socket = std::exchange(m_openedSocket, -1);
         m_newConnection = true;
-        m_registry.add(std::move(endpoints), m_socket);
-        recordRequest();
+        const auto socket = std::exchange(m_openedSocket, -1);
+        m_registry.add(std::move(endpoints), socket);
+        startRequest(socket);
         return true;
     }
-    m_socket = m_registry.find(endpoints);
-    m_staleConnection = !m_registry.reusable(m_socket, MonotonicClock::now(), m_options.maxIdleAge);
-    if (!m_staleConnection) {
-        m_registry.setBusy(m_socket);
-        recordRequest();
+    const auto socket = m_registry.find(endpoints);
+    m_connectionDeclined = !mayUse(socket);
+    if (!m_connectionDeclined) {
+        m_registry.setBusy(socket);
+        startRequest(socket);
     }
-    return !m_staleConnection;
+    return !m_connectionDeclined;
 }
 
-// Records that the request is sent on m_socket.
-auto HttpTransfer::recordRequest() -> void
+auto HttpTransfer::mayUse(int socket) const -> bool
 {
-    m_registry.setUnanswered(m_socket, true);
-    if (const auto &id = m_options.correlationHeader; id && !id->second.empty()) {
-        m_repeatedOnConnection = m_registry.hasCarried(m_socket, id->second);
-        m_registry.addRequest(m_socket, id->second);
+    const auto id = correlationId();
+    return m_registry.reusable(socket, MonotonicClock::now(), m_options.maxIdleAge)
+        && (id.empty() || m_registry.distinguishes(socket, id));
+}
+
+auto HttpTransfer::startRequest(int socket) -> void
+{
+    m_socket = socket;
+    m_registry.setUnanswered(socket, true);
+    if (const auto id = correlationId(); !id.empty()) {
+        m_registry.addRequest(socket, id);
     }
 }
 
@@ -362,6 +368,20 @@
     return m_bodyBytesReceived > m_maxHeadBytes + size * (1 + maxFramingRatio);
 }
 
+// Returns the id of the request, or an empty text if its responses have none.
+auto HttpTransfer::correlationId() const -> std::string_view
+{
+    const auto &header = m_options.correlationHeader;
+    return header ? std::string_view(header->second) : std::string_view();
+}
+
+auto HttpTransfer::isAttributed() const -> bool
+{
+    const auto id = correlationId();
+    return m_newConnection
+        || (!id.empty() && m_response.headers.find(m_options.correlationHeader->first) == id);
+}
+
 // Returns whether the response has no body, whatever its header announces.
 auto HttpTransfer::hasNoBody() const -> bool
 {
@@ -455,7 +475,6 @@
     auto outcome = HttpOutcome{};
     outcome.elapsed = now - m_start;
     outcome.newConnection = m_newConnection;
-    outcome.repeatedOnConnection = m_repeatedOnConnection;
     if (code != CURLE_OK) {
         outcome.error = toError(code);
         outcome.verdict = bytesSent() > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
@@ -470,6 +489,7 @@
         return outcome;
     }
     outcome.verdict = Verdict::Ran;
+    outcome.attributed = isAttributed();
     m_response.bodyEnd = bodyEnd();
     m_budget.release(m_response.body.size());
     outcome.response = std::exchange(m_response, {});
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -38,7 +38,7 @@
                  const HttpCallOptions &options, HttpClient::Callback callback) -> void;
     /// Configures the handle to retry on a new connection within the remaining timeout.
     auto prepareRetry() -> void;
-    /// Returns whether the call can be retried: the reused connection proved stale before any byte
+    /// Returns whether the call can be retried: the reused connection was declined before any byte
     /// was sent, and the timeout has not expired.
     [[nodiscard]] auto shouldRetry() const -> bool;
     /// Returns the outcome of the call, moving the response out. Must be called once per call.
@@ -67,12 +67,15 @@
     [[nodiscard]] auto longestTime() const -> milliseconds;
     auto recordProgress() -> void;
     auto admitConnection(ConnectionEndpoints endpoints) -> bool;
-    auto recordRequest() -> void;
+    [[nodiscard]] auto mayUse(int socket) const -> bool;
+    auto startRequest(int socket) -> void;
     auto appendHeaderLine(std::string_view line) -> bool;
     auto completeHead() -> bool;
     [[nodiscard]] auto framingTooLarge() const -> bool;
     auto appendBody(std::string_view data) -> bool;
     [[nodiscard]] auto bytesSent() const -> curl_off_t;
+    [[nodiscard]] auto correlationId() const -> std::string_view;
+    [[nodiscard]] auto isAttributed() const -> bool;
     [[nodiscard]] auto hasNoBody() const -> bool;
     [[nodiscard]] auto bodyEnd() const -> BodyEnd;
     [[nodiscard]] auto headError() const -> std::optional<Error>;
@@ -115,8 +118,7 @@
     int m_openedSocket = -1; ///< opened by this call and not registered yet
     int m_socket = -1; ///< carries the request
     bool m_newConnection = false;
-    bool m_repeatedOnConnection = false; ///< its id was sent on the connection before
-    bool m_staleConnection = false; ///< the reused connection is not reusable
+    bool m_connectionDeclined = false; ///< the reused connection must not carry the request
     bool m_resendBlocked = false; ///< libcurl's automatic resend was prevented
     std::optional<Error> m_responseError; ///< why the client stopped reading the response
 };
--- /dev/null
+++ b/tests/contract/connection_registry_test.cpp
@@ -0,0 +1,45 @@
+#include "io/connection_registry.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace figlanding;
+
+namespace {
+
+constexpr auto socketNumber = 7;
+
+auto endpoints(int localPort) -> ConnectionEndpoints
+{
+    return {.remoteIp = "127.0.0.1", .remotePort = 80, .localPort = localPort};
+}
+
+} // namespace
+
+TEST_CASE("a connection does not distinguish the responses to a request that it has carried")
+{
+    auto registry = ConnectionRegistry();
+    registry.add(endpoints(1), socketNumber);
+    CHECK(registry.distinguishes(socketNumber, "a"));
+    registry.addRequest(socketNumber, "a");
+    registry.addRequest(socketNumber, "b");
+    CHECK_FALSE(registry.distinguishes(socketNumber, "a"));
+    CHECK_FALSE(registry.distinguishes(socketNumber, "b"));
+    CHECK(registry.distinguishes(socketNumber, "c"));
+    registry.add(endpoints(2), socketNumber); // the socket's number is used again
+    CHECK(registry.distinguishes(socketNumber, "a"));
+    registry.remove(socketNumber);
+    CHECK_FALSE(registry.distinguishes(socketNumber, "a"));
+}
+
+TEST_CASE("a connection whose requests are too many to remember distinguishes none")
+{
+    auto registry = ConnectionRegistry();
+    registry.add(endpoints(1), socketNumber);
+    constexpr auto requests = 5000;
+    for (auto i = 0; i < requests; ++i) {
+        registry.addRequest(socketNumber, "request-" + std::to_string(i));
+    }
+    CHECK_FALSE(registry.distinguishes(socketNumber, "another"));
+}
