--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -15,15 +15,12 @@
 constexpr int fenceConflictStatus = 409;
 constexpr std::string_view requestIdHeader = "figlanding-request-id";
 
-// Whether the server states that it did not run the request. Without the id of the request, the
-// response may be bytes that belong to none, unless it is the first one of its connection.
-auto isNotRunOutcome(const HttpOutcome &outcome, const std::string &requestId) -> bool
+// Whether the server states that it did not run the request.
+auto isNotRunOutcome(const HttpOutcome &outcome) -> bool
 {
     const auto &response = outcome.response;
-    const auto statesNotRun = (response.status == 503 || response.status == fenceConflictStatus)
+    return outcome.attributed && (response.status == 503 || response.status == fenceConflictStatus)
         && response.headers.find("figlanding-not-run") == "true";
-    const auto id = response.headers.find(requestIdHeader);
-    return statesNotRun && (id ? *id == requestId : outcome.newConnection);
 }
 
 auto refusal(RefusalReason reason, std::string detail, Verdict verdict = Verdict::NotRun) -> Refusal
@@ -147,7 +144,8 @@
         .timeout = timeout,
         .connectTimeout = timeout,
         .freshConnection = false,
-        .maxIdleAge = call.request.idempotent ? milliseconds(10000) : nonIdempotentMaxIdleAge};
+        .maxIdleAge = call.request.idempotent ? milliseconds(10000) : nonIdempotentMaxIdleAge,
+        .correlationHeader = std::pair(std::string(requestIdHeader), call.request.requestId)};
     call.httpCall =
         m_client.call(address, serverRequest(call, remaining), options,
                       [this, id](HttpOutcome outcome) { onOutcome(id, std::move(outcome)); });
@@ -211,7 +209,7 @@
                Refusal{.reason = RefusalReason::AnswerLost,
                        .detail = describe(outcome.error),
                        .verdict = Verdict::MayHaveRun});
-    } else if (isNotRunOutcome(outcome, call.request.requestId)) {
+    } else if (isNotRunOutcome(outcome)) {
         end(RequestEnd::Shed);
         // The server reports a fence conflict until it receives its grant, which is sent only after
         // the move is committed.
--- a/tests/contract/dispatcher_test.cpp
+++ b/tests/contract/dispatcher_test.cpp
@@ -125,3 +125,27 @@
         CHECK(std::get<Refusal>(*result).verdict == expected);
     }
 }
+
+TEST_CASE("a copy of a rejection does not say that a request did not run when it is sent again")
+{
+    const auto readRequest = figlanding::testing::RawStep{RawAction::ReadRequest, {}};
+    const auto hold = figlanding::testing::RawStep{RawAction::Hold, {}};
+    const auto rejection = response("503 Service Unavailable\r\nfiglanding-not-run: true\r\n"
+                                    "figlanding-request-id: request-1\r\n");
+    const auto success = response("200 OK\r\nfiglanding-request-id: request-1\r\n");
+    auto raw = RawServer({{readRequest, response("200 OK\r\n", R"({"boot_id":"b"})"), readRequest,
+                           rejection, readRequest, rejection, hold},
+                          {readRequest, success, hold}});
+    auto running = IdleDispatcher(raw.address());
+    REQUIRE(runUntil(
+        running.loop, [&] { return running.probed; }, seconds(2)));
+    auto first = std::optional<DispatchResult>();
+    running.dispatch(postWithKey("request-1", ""), first);
+    REQUIRE(runUntil(
+        running.loop, [&] { return first.has_value(); }, seconds(2)));
+    auto second = std::optional<DispatchResult>();
+    running.dispatch(postWithKey("request-1", ""), second);
+    REQUIRE(runUntil(
+        running.loop, [&] { return second.has_value(); }, seconds(2)));
+    CHECK(std::holds_alternative<HttpResponse>(*second));
+}
