--- a/src/io/connection_registry.cpp
+++ b/src/io/connection_registry.cpp
@@ -34,6 +34,7 @@
 {
     remove(fd);
     m_sockets[endpoints] = fd;
+    m_socketsByServer[serverOf(endpoints)].push_back(fd);
     m_entries[fd] = Entry{.endpoints = std::move(endpoints), .lastUsed = {}};
 }
 
@@ -47,6 +48,11 @@
     if (socket != m_sockets.end() && socket->second == fd) {
         m_sockets.erase(socket);
     }
+    const auto ofServer = m_socketsByServer.find(serverOf(entry->second.endpoints));
+    std::erase(ofServer->second, fd);
+    if (ofServer->second.empty()) {
+        m_socketsByServer.erase(ofServer);
+    }
     m_entries.erase(entry);
 }
 
@@ -79,9 +85,7 @@
     if (entry == m_entries.end() || !entry->second.idle || peek(fd) <= 0) {
         return std::nullopt;
     }
-    const auto &endpoints = entry->second.endpoints;
-    return SocketAddress{.ip = endpoints.remoteIp,
-                         .port = static_cast<std::uint16_t>(endpoints.remotePort)};
+    return serverOf(entry->second.endpoints);
 }
 
 auto ConnectionRegistry::setUnanswered(int fd, bool unanswered) -> void
@@ -106,16 +110,34 @@
     }
 }
 
+auto ConnectionRegistry::hasCarried(const SocketAddress &server, std::string_view requestId) const
+    -> bool
+{
+    const auto sockets = m_socketsByServer.find(server);
+    return sockets != m_socketsByServer.end()
+        && std::any_of(sockets->second.begin(), sockets->second.end(),
+                       [&](int fd) { return m_entries.at(fd).carried(requestId); });
+}
+
 auto ConnectionRegistry::distinguishes(int fd, std::string_view requestId) const -> bool
 {
     const auto entry = m_entries.find(fd);
     if (entry == m_entries.end()) {
         return false;
     }
-    const auto &requests = entry->second.requests;
-    return requests.size() < maxRequestsPerConnection
-        && std::find(requests.begin(), requests.end(), std::hash<std::string_view>{}(requestId))
-        == requests.end();
+    return entry->second.requests.size() < maxRequestsPerConnection
+        && !entry->second.carried(requestId);
+}
+
+auto ConnectionRegistry::Entry::carried(std::string_view requestId) const -> bool
+{
+    const auto hash = std::hash<std::string_view>{}(requestId);
+    return std::find(requests.begin(), requests.end(), hash) != requests.end();
+}
+
+auto ConnectionRegistry::serverOf(const ConnectionEndpoints &endpoints) -> SocketAddress
+{
+    return {.ip = endpoints.remoteIp, .port = static_cast<std::uint16_t>(endpoints.remotePort)};
 }
 
 auto ConnectionRegistry::reusable(int fd, TimePoint now, Duration maxIdleAge) const -> bool
--- a/src/io/connection_registry.h
+++ b/src/io/connection_registry.h
@@ -4,6 +4,7 @@
 #include "figlanding/objects.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -51,6 +52,10 @@
     [[nodiscard]] auto unanswered(int fd) const -> bool;
     /// Records that a request with the id @p requestId is sent on @p fd.
     auto addRequest(int fd, std::string_view requestId) -> void;
+    /// Returns whether a request with the id @p requestId may have been sent on a connection to
+    /// @p server that is still open.
+    [[nodiscard]] auto hasCarried(const SocketAddress &server, std::string_view requestId) const
+        -> bool;
     /// Returns whether a response on @p fd that has the id @p requestId would belong to a request
     /// that is sent now: none with that id was sent on it. False as well, though rarely, for an id
     /// that was not sent, and once too many ids would have to be remembered.
@@ -67,13 +72,18 @@
         bool idle = false;
         bool unanswered = false;
         std::vector<std::size_t> requests; ///< hashes of the ids of all requests sent so far
+
+        [[nodiscard]] auto carried(std::string_view requestId) const -> bool;
     };
     struct EndpointsHash
     {
         auto operator()(const ConnectionEndpoints &endpoints) const -> std::size_t;
     };
 
+    [[nodiscard]] static auto serverOf(const ConnectionEndpoints &endpoints) -> SocketAddress;
+
     std::unordered_map<int, Entry> m_entries;
+    std::map<SocketAddress, std::vector<int>> m_socketsByServer;
     std::unordered_map<ConnectionEndpoints, int, EndpointsHash> m_sockets;
 };
 
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -140,7 +140,10 @@
     setMethodAndBody();
     setHeaders();
     setTimeouts(longestTime());
-    curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, options.freshConnection ? 1L : 0L);
+    // Declining a connection closes it, so one that is known to be unsuitable is not tried.
+    const auto repeated =
+        !correlationId().empty() && m_registry.hasCarried(address, correlationId());
+    curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, options.freshConnection || repeated ? 1L : 0L);
     const auto maxAge = std::chrono::ceil<seconds>(options.maxIdleAge).count();
     curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, std::max<long>(1, maxAge));
 }
--- a/tests/contract/connection_registry_test.cpp
+++ b/tests/contract/connection_registry_test.cpp
@@ -33,6 +33,21 @@
     CHECK_FALSE(registry.distinguishes(socketNumber, "a"));
 }
 
+TEST_CASE("a server has carried a request as long as the connection on which it was sent is open")
+{
+    const auto server = SocketAddress{.ip = "127.0.0.1", .port = 80};
+    const auto otherServer = SocketAddress{.ip = "127.0.0.1", .port = 81};
+    auto registry = ConnectionRegistry();
+    registry.add(endpoints(1), socketNumber);
+    registry.add(endpoints(2), socketNumber + 1);
+    registry.addRequest(socketNumber, "a");
+    CHECK(registry.hasCarried(server, "a"));
+    CHECK_FALSE(registry.hasCarried(server, "b"));
+    CHECK_FALSE(registry.hasCarried(otherServer, "a"));
+    registry.remove(socketNumber);
+    CHECK_FALSE(registry.hasCarried(server, "a"));
+}
+
 TEST_CASE("a connection whose requests are too many to remember distinguishes none")
 {
     auto registry = ConnectionRegistry();
