--- a/include/figlanding/gateway/retry_time_estimator.h
+++ b/include/figlanding/gateway/retry_time_estimator.h
@@ -4,7 +4,10 @@
 #include "figlanding/gateway/caller_protocol.h"
 #include "figlanding/names.h"
 
+#include <cstddef>
 #include <map>
+#include <optional>
+#include <vector>
 
 /// @file
 /// Estimates how long a caller has been retrying.
@@ -12,11 +15,13 @@
 /// Callers retry after a refusal. Their latency objective counts from their
 /// first attempt, so a returning request must not take the slot of one that can still be on time.
 /// The callers of a route are assumed to start with the same deadline. A request with a shorter
-/// deadline than the longest one seen on its route has spent the difference on earlier attempts.
+/// deadline has spent the difference on earlier attempts. A few callers that name a longer deadline
+/// than the others do not change what is assumed of those.
 
 namespace figlanding {
 
-/// Learns the full deadline of each route's callers: the longest one seen so far.
+/// Learns the full deadline of each route's callers: the longest one of the route's last requests
+/// that is not named by a few of them alone.
 class RetryTimeEstimator
 {
 public:
@@ -26,7 +31,17 @@
         -> milliseconds;
 
 private:
-    std::map<RouteId, milliseconds> m_fullDeadlines;
+    /// The deadlines of the last requests of a route.
+    struct RecentDeadlines
+    {
+        std::vector<milliseconds> values;
+        std::size_t next = 0; ///< position of the oldest value once the window is full
+    };
+
+    static auto add(RecentDeadlines &recent, milliseconds deadline) -> void;
+    static auto fullDeadline(const RecentDeadlines &recent) -> std::optional<milliseconds>;
+
+    std::map<RouteId, RecentDeadlines> m_recent;
 };
 
 } // namespace figlanding
--- a/src/gateway/request_admission.cpp
+++ b/src/gateway/request_admission.cpp
@@ -48,8 +48,10 @@
     active.priority = route.priority;
     const auto timeout = std::min(route.timeout, active.caller.deadline.value_or(route.timeout));
     active.deadline = active.receivedAt + timeout - m_options.responseMargin;
-    active.objectiveAt =
-        active.receivedAt + route.latencyObjective - m_retryTime.timeSpent(route.id, active.caller);
+    // A deadline may be any number, so the time spent is bounded before it meets a point in time.
+    const auto timeSpent =
+        std::min(m_retryTime.timeSpent(route.id, active.caller), route.latencyObjective);
+    active.objectiveAt = active.receivedAt + route.latencyObjective - timeSpent;
     active.service = pickService(route, m_uniform(m_random));
     active.record.service = active.service;
     return admitTeam(active);
--- a/tests/contract/request_admission_test.cpp
+++ b/tests/contract/request_admission_test.cpp
@@ -10,20 +10,23 @@
 
 namespace {
 
+constexpr milliseconds objective{500};
+
 // Admits one request by a configuration with one route, which needs an API key.
 class Admitting
 {
 public:
-    auto admit(const std::string &target, const std::string &apiKey) -> std::optional<Refusal>
+    auto admit(const std::string &target, const std::string &apiKey,
+               std::optional<milliseconds> deadline = {}) -> std::optional<Refusal>
     {
         auto refusal = std::optional<Refusal>{};
         const auto server = valueOrElse(
             [&] {
-                return HttpServer::listen(m_loop, {.address = {.ip = "127.0.0.1"}},
-                                          [&](HttpExchange exchange) {
-                                              refusal = admit(std::move(exchange), apiKey);
-                                              m_loop.stop();
-                                          });
+                return HttpServer::listen(
+                    m_loop, {.address = {.ip = "127.0.0.1"}}, [&](HttpExchange exchange) {
+                        refusal = admit(std::move(exchange), apiKey, deadline);
+                        m_loop.stop();
+                    });
             },
             [](const Error &) { return std::unique_ptr<HttpServer>(); });
         REQUIRE(server);
@@ -35,15 +38,18 @@
     }
 
     ConfigurationStatus status = ConfigurationStatus::Confirmed;
+    Duration objectiveIn{}; ///< of the last request, from its arrival
 
 private:
-    auto admit(HttpExchange exchange, const std::string &apiKey) -> std::optional<Refusal>
+    auto admit(HttpExchange exchange, const std::string &apiKey,
+               std::optional<milliseconds> deadline) -> std::optional<Refusal>
     {
         auto active = ActiveRequest{};
         active.exchange = std::make_unique<HttpExchange>(std::move(exchange));
-        active.caller = {.id = "id", .host = "h", .apiKey = apiKey};
+        active.caller = {.id = "id", .host = "h", .apiKey = apiKey, .deadline = deadline};
         active.receivedAt = m_loop.now();
         auto refusal = m_admission.admit(active);
+        objectiveIn = active.objectiveAt - active.receivedAt;
         active.exchange->respond({.status = 200});
         return refusal;
     }
@@ -56,6 +62,7 @@
                      .routes = {{.id = RouteId("r"),
                                  .host = "h",
                                  .pathPrefix = "/known/",
+                                 .latencyObjective = objective,
                                  .services = {{.service = ServiceId("rooms")}}}},
                      .services = {{.id = ServiceId("rooms")}},
                      .teams = {{.id = TeamId("t"), .apiKeys = {"key"}}}});
@@ -93,3 +100,18 @@
         CHECK(refusal->retryAfter.has_value());
     }
 }
+
+TEST_CASE("a deadline near the largest number does not overflow the objective of other callers")
+{
+    constexpr auto longest = milliseconds::max();
+    auto vm = Admitting();
+    CHECK_FALSE(vm.admit("/known/", "key", longest));
+    CHECK(vm.objectiveIn == objective);
+    CHECK_FALSE(vm.admit("/known/", "key", milliseconds(2000)));
+    CHECK(vm.objectiveIn == objective);
+    // So many name it that it counts as the full deadline.
+    CHECK_FALSE(vm.admit("/known/", "key", longest));
+    CHECK_FALSE(vm.admit("/known/", "key", milliseconds(2000)));
+    CHECK(vm.objectiveIn >= Duration::zero());
+    CHECK(vm.objectiveIn <= objective);
+}
--- a/tests/unit/gateway_state_test.cpp
+++ b/tests/unit/gateway_state_test.cpp
@@ -10,6 +10,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 
@@ -399,15 +401,51 @@
 }
 
 TEST_CASE(
-    "the time spent on earlier attempts is the difference to the longest deadline of the route")
+    "the time spent on earlier attempts is the difference to the deadline of the route's callers")
 {
     auto estimator = RetryTimeEstimator();
     const auto timeSpent = [&](int ms) {
         return estimator.timeSpent(RouteId("r"), {.deadline = milliseconds(ms)});
     };
     CHECK(timeSpent(2000) == milliseconds(0));
+    CHECK(timeSpent(2000) == milliseconds(0));
     CHECK(timeSpent(1300) == milliseconds(700));
     CHECK(estimator.timeSpent(RouteId("r"), {}) == milliseconds(0));
+    CHECK(estimator.timeSpent(RouteId("other"), {.deadline = milliseconds(1300)})
+          == milliseconds(0));
+}
+
+TEST_CASE("a caller that names a deadline of years does not make the others of its route late")
+{
+    constexpr auto years = std::numeric_limits<std::int64_t>::max();
+    auto estimator = RetryTimeEstimator();
+    const auto timeSpent = [&](std::int64_t ms) {
+        return estimator.timeSpent(RouteId("r"), {.deadline = milliseconds(ms)});
+    };
+    for (auto round = 0; round < 100; ++round) {
+        CHECK(timeSpent(years) == milliseconds(0));
+        for (auto other = 0; other < 10; ++other) {
+            CHECK(timeSpent(2000) == milliseconds(0));
+        }
+    }
+    CHECK(timeSpent(1300) == milliseconds(700));
+}
+
+TEST_CASE("returning callers are told from new ones while most requests come from them")
+{
+    auto estimator = RetryTimeEstimator();
+    const auto timeSpent = [&](int ms) {
+        return estimator.timeSpent(RouteId("r"), {.deadline = milliseconds(ms)});
+    };
+    for (auto request = 0; request < 100; ++request) {
+        timeSpent(2000);
+    }
+    for (auto round = 0; round < 100; ++round) {
+        CHECK(timeSpent(2000) == milliseconds(0));
+        CHECK(timeSpent(1300) == milliseconds(700));
+        CHECK(timeSpent(900) == milliseconds(1100));
+        CHECK(timeSpent(400) == milliseconds(1600));
+    }
 }
 
 TEST_CASE("a suspension is detected as boot time that the steady clock does not count")
