--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -234,8 +234,9 @@
             previous == nullptr || previous->entry.startedUnixMs != entry.startedUnixMs;
         const auto startsDraining = entry.draining && (isNew || !previous->entry.draining);
         const auto changed = isNew || startsDraining || previous->entry.address != entry.address
-            || previous->entry.slots != entry.slots || previous->coldUntil > now
-            || entry.coldRemaining > milliseconds(0) || m_registry.isToBeRemoved(entry.id);
+            || previous->entry.zone != entry.zone || previous->entry.slots != entry.slots
+            || previous->coldUntil > now || entry.coldRemaining > milliseconds(0)
+            || m_registry.isToBeRemoved(entry.id);
         m_registry.announce(entry, now);
         m_serversChanged = m_serversChanged || changed;
         if (isNew || startsDraining) {
--- a/tests/contract/store_view_test.cpp
+++ b/tests/contract/store_view_test.cpp
@@ -20,13 +20,14 @@
     std::string address = "10.0.0.1:80";
     std::int64_t born = server.startedUnixMs;
     int sequence = 1;
+    std::string zone = "a";
 };
 
 // A record with the server's id; by default as the server writes it itself.
 auto entry(const EntryFields &fields) -> KeyedRecord
 {
     const auto value = nlohmann::json{
-        {"Service", fields.service}, {"Address", fields.address},   {"Zone", "a"},
+        {"Service", fields.service}, {"Address", fields.address},   {"Zone", fields.zone},
         {"Version", "v1"},           {"MaxConcurrency", 2},         {"State", fields.state},
         {"WarmupRemaining", "0ms"},  {"Sequence", fields.sequence}, {"born", fields.born}};
     return {.offset = static_cast<LogOffset>(fields.sequence),
@@ -78,6 +79,19 @@
     CHECK_FALSE(view.store.onServerRecord(entry({.state = "draining", .sequence = 4})));
 }
 
+// Guards against requests to a server in an evacuated zone from VMs that have its former zone.
+TEST_CASE("a server's announcement of another zone is news for this VM and the others")
+{
+    auto view = View();
+    view.store.onServerRecord(entry({.sequence = 1}));
+    CHECK(view.store.takeServersChanged(view.loop.now()));
+    CHECK(view.store.onServerRecord(entry({.sequence = 2, .zone = "b"})));
+    CHECK(view.store.takeServersChanged(view.loop.now()));
+    CHECK(view.known().zone == AvailabilityZoneId("b"));
+    CHECK_FALSE(view.store.onServerRecord(entry({.sequence = 3, .zone = "b"})));
+    CHECK_FALSE(view.store.takeServersChanged(view.loop.now()));
+}
+
 TEST_CASE("a server that says that it is leaving gets no requests, whatever its next entry says")
 {
     auto view = View();
