--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -28,6 +28,7 @@
 ///
 /// - A range is taken from a live server only after the server has released it, and only if its
 ///   last grant was accepted: a late grant then has a lower fence and is refused.
+/// - The acceptance that makes a lease certain is one that can be no copy of an earlier response.
 /// - A server that restarts between two renewals handles the next renewal like a first grant. Its
 ///   fence is higher than all fences of the earlier incarnation.
 /// - A server that restarts under the same name may have accepted a grant meant for its earlier
@@ -132,6 +133,10 @@
     KeyRange keys;
     FencingToken fence = 0;
     std::string handOver; ///< token of the previous owner; empty if there is none
+    /// Whether a copy of an earlier response must not pass for the response to this grant, as its
+    /// acceptance makes the state of the range certain. Renewals of a confirmed lease don't need
+    /// it.
+    bool needsProof = false;
 
     auto operator==(const GrantCommand &) const -> bool = default;
 };
--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -337,13 +337,15 @@
         const auto command = m_nextCommandId++;
         m_pendingCommands[command] = {
             .service = id, .keys = range.owned.keys, .fence = range.owned.fence};
-        actions.emplace_back(GrantCommand{.id = command,
-                                          .service = id,
-                                          .to = range.owned.owner,
-                                          .address = *address,
-                                          .keys = range.owned.keys,
-                                          .fence = range.owned.fence,
-                                          .handOver = range.owned.handOver});
+        actions.emplace_back(
+            GrantCommand{.id = command,
+                         .service = id,
+                         .to = range.owned.owner,
+                         .address = *address,
+                         .keys = range.owned.keys,
+                         .fence = range.owned.fence,
+                         .handOver = range.owned.handOver,
+                         .needsProof = !range.confirmed || range.grantMayArriveLate});
     }
 }
 
--- a/tests/contract/key_lease_client_test.cpp
+++ b/tests/contract/key_lease_client_test.cpp
@@ -7,6 +7,8 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 using namespace figlanding;
@@ -24,8 +26,18 @@
     { }
 
     auto grant(milliseconds timeout = milliseconds(2000)) -> CommandOutcome
+    {
+        return grant(GrantCommand{}, timeout);
+    }
+    // Sends a grant whose response must be its own.
+    auto grantWithProof() -> CommandOutcome
     {
         auto command = GrantCommand{};
+        command.needsProof = true;
+        return grant(std::move(command), milliseconds(2000));
+    }
+    auto grant(GrantCommand command, milliseconds timeout) -> CommandOutcome
+    {
         command.address = m_server.address();
         auto result = std::optional<CommandOutcome>{};
         m_leases.grant(command, milliseconds(4000), timeout,
@@ -147,3 +159,26 @@
     CHECK(calls.grant() == CommandOutcome::Lost);
     CHECK(calls.grant() == CommandOutcome::Accepted); // on another connection
 }
+
+// Guards against keys that count as granted, and move on, while an earlier grant may still arrive.
+TEST_CASE("a copy of the response to a grant is not taken for that to one that needs proof")
+{
+    const auto conflict = std::string("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+    for (const auto &[copy, response, outcome] :
+         {std::tuple(granted, conflict, CommandOutcome::Refused),
+          std::tuple(conflict, granted, CommandOutcome::Accepted)}) {
+        auto calls = LeaseCalls({{read(), send(copy), read(), send(copy), hold()},
+                                 {read(), send(response), read(), send(response), hold()}});
+        calls.grant();
+        CHECK(calls.grantWithProof() == outcome);
+        CHECK(calls.server().requests().size() == 2);
+    }
+}
+
+TEST_CASE("renewals use the connection of the grants before them")
+{
+    auto calls = LeaseCalls({{read(), send(granted), read(), send(granted), hold()}});
+    CHECK(calls.grantWithProof() == CommandOutcome::Accepted);
+    CHECK(calls.grant() == CommandOutcome::Accepted);
+    CHECK(calls.server().requests().size() == 2);
+}
--- a/tests/unit/key_controller_test.cpp
+++ b/tests/unit/key_controller_test.cpp
@@ -107,6 +107,17 @@
     checkSoleAndCompleteOwnership(allFaults);
 }
 
+// Guards against a range that is given on while an earlier grant of it may still take effect.
+TEST_CASE("keys have one owner while copies of acceptances arrive in place of responses to grants")
+{
+    checkSoleAndCompleteOwnership(
+        {.lateCommand = 0.2, .copiedAcceptance = 0.5, .crashes = true, .unreachableServers = true});
+    checkSoleAndCompleteOwnership({.copiedAcceptance = 0.5, .leaderChanges = true});
+    auto faults = allFaults;
+    faults.copiedAcceptance = 0.1;
+    checkSoleAndCompleteOwnership(faults);
+}
+
 TEST_CASE("grants that were not sent do not delay the keys of dozens of servers that fell silent")
 {
     const auto outcome = runKeySimulation(dozensOfSilentServers);
--- a/tests/unit/key_simulation.cpp
+++ b/tests/unit/key_simulation.cpp
@@ -411,9 +411,14 @@
     {
         auto &sender = *m_controllers.at(static_cast<std::size_t>(controller));
         auto &server = find(command.address);
-        const auto responseLost = [&sender, id = command.id, this] {
-            sender.onGrant(id, CommandOutcome::Lost, m_now);
+        // Without this fault no random number is drawn, so that seeds lead to the same runs.
+        const auto copied = m_options.faults.copiedAcceptance > 0 && !command.needsProof
+            && chance(m_options.faults.copiedAcceptance);
+        const auto unanswered = copied ? CommandOutcome::Accepted : CommandOutcome::Lost;
+        const auto responseLost = [&sender, unanswered, id = command.id, this] {
+            sender.onGrant(id, unanswered, m_now);
         };
+        const auto noResponseAfter = copied ? milliseconds(4) : m_callTimeout;
         const auto arrival = m_now + milliseconds(2);
         const auto incarnation = server.incarnation;
         const auto run = [=, this, &server] {
@@ -431,16 +436,18 @@
                 sender.onGrant(id, CommandOutcome::NotSent, m_now);
             });
         } else if (chance(m_options.faults.lostCommand)) {
-            schedule(m_callTimeout, responseLost);
+            schedule(noResponseAfter, responseLost);
         } else if (chance(m_options.faults.lateCommand)) {
             schedule(randomDuration(2000, 12'000), [run] { run(); });
-            schedule(m_callTimeout, responseLost);
+            schedule(noResponseAfter, responseLost);
         } else if (chance(m_options.faults.lostResponse)) {
             schedule(milliseconds(2), [run] { run(); });
-            schedule(m_callTimeout, responseLost);
+            schedule(noResponseAfter, responseLost);
         } else {
-            schedule(milliseconds(4),
-                     [&sender, run, id = command.id, this] { sender.onGrant(id, run(), m_now); });
+            schedule(milliseconds(4), [&sender, run, copied, id = command.id, this] {
+                const auto outcome = run();
+                sender.onGrant(id, copied ? CommandOutcome::Accepted : outcome, m_now);
+            });
         }
     }
 
--- a/tests/unit/key_simulation.h
+++ b/tests/unit/key_simulation.h
@@ -23,6 +23,9 @@
     double lostResponse = 0.0; ///< share of commands that take effect without a response
     /// Share of grants that take effect 2 to 12 s late, without a response.
     double lateCommand = 0.0;
+    /// Share of grants in whose place of a response a copy of an earlier acceptance arrives, where
+    /// one can arrive. It combines with lostCommand, lateCommand and refusals by the server.
+    double copiedAcceptance = 0.0;
     double unknownAppend = 0.0; ///< share of appends that take effect without a response, or late
     double refusedConnection = 0.0; ///< share of grants whose connection a live server refuses
     bool crashes = false; ///< servers crash and restart as a new incarnation
