Judge the response of a call apart from the transfer that receives it

Hard to read: HttpTransfer was both the handle of libcurl (options, callbacks, connections, retry, errors) and the judge of the response.

Moved: ReceivedResponse (src/io/received_response.h) holds the head, the body, the counts and the limits of the response of a call, and says whether it can be used: the check of the head, the limits of head, body and chunk framing, the check of the length, the end of the body, and whether the id of the request is in it.

The logic, the texts of errors and the order of effects are unchanged: a header line is counted before the connection counts as answered, as before, so the limit and the line are two calls. The memory budget is taken and given back at the same places.

--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -6,10 +6,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <cerrno>
-#include <charconv>
-#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -19,10 +16,6 @@
 
 constexpr long keepAliveIdleSeconds = 5;
 constexpr long keepAliveIntervalSeconds = 2;
-constexpr int statusSwitchingProtocols = 101;
-constexpr int statusFirstFinal = 200;
-/// Framing bytes accepted for each byte of a chunked body; chunks of one byte need five.
-constexpr std::uint64_t maxFramingRatio = 8;
 
 // Returns whether the client generates the header itself; the request's own value is ignored.
 auto isFramingHeader(std::string_view name) -> bool
@@ -32,44 +25,20 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-auto equalsIgnoringCase(std::string_view text, std::string_view lowerCase) -> bool
-{
-    return std::equal(text.begin(), text.end(), lowerCase.begin(), lowerCase.end(),
-                      [](char left, char right) {
-                          return std::tolower(static_cast<unsigned char>(left)) == right;
-                      });
-}
-
-auto parseLength(std::string_view text) -> std::optional<std::uint64_t>
-{
-    auto value = std::uint64_t{0};
-    const auto *end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, value);
-    return error == std::errc{} && stop == end ? std::optional(value) : std::nullopt;
-}
-
 auto toMilliseconds(Duration duration) -> long
 {
     const auto count = std::chrono::ceil<milliseconds>(duration).count();
     return std::max<long>(1, static_cast<long>(count));
 }
 
-auto statusHasNoBody(int status) -> bool
-{
-    return status == 204 || status == 304 || status < 200;
-}
-
 } // namespace
 
 HttpTransfer::HttpTransfer(ConnectionRegistry &registry, ResponseBudget &budget,
                            const HttpClientOptions &options)
     : m_registry(registry)
-    , m_budget(budget)
-    , m_maxHeadBytes(options.maxHeadBytes)
-    , m_maxBodyBytes(options.maxBodyBytes)
     , m_tcpUserTimeout(options.tcpUserTimeout)
-    , m_acceptsCloseDelimited(options.acceptsCloseDelimited)
     , m_easy(curl_easy_init())
+    , m_response(budget, options)
 {
     if (m_easy == nullptr) {
         throw std::runtime_error("curl_easy_init failed");
@@ -125,11 +94,7 @@
     m_start = MonotonicClock::now();
     m_lastByteAt = m_start;
     m_request = std::move(request);
-    discardResponse();
-    m_head = ResponseHead{};
-    m_headBytes = 0;
-    m_bodyBytesReceived = 0;
-    m_responseError.reset();
+    m_response.begin(m_request.method, m_options);
     m_openedSocket = -1;
     m_socket = -1;
     m_newConnection = m_connectionDeclined = m_resendBlocked = false;
@@ -235,8 +200,7 @@
 
 auto HttpTransfer::discardResponse() -> void
 {
-    m_budget.release(m_response.body.size());
-    m_response = HttpResponse{.status = 0};
+    m_response.discard();
 }
 
 auto HttpTransfer::bytesSent() const -> curl_off_t
@@ -289,83 +253,11 @@
 // Processes one line of a response header or trailer. Returns false if the call must end.
 auto HttpTransfer::appendHeaderLine(std::string_view line) -> bool
 {
-    m_headBytes += line.size();
-    if (m_headBytes > m_maxHeadBytes) {
-        m_responseError = tooLarge("header", m_maxHeadBytes);
+    if (!m_response.countHeaderBytes(line.size())) {
         return false;
     }
     m_registry.setUnanswered(m_socket, false);
-    const auto wasComplete = m_head.isComplete();
-    if (auto fault = m_head.add(line)) {
-        m_responseError = Error{.code = ErrorCode::ProtocolViolation, .detail = std::move(*fault)};
-        return false;
-    }
-    return wasComplete || !m_head.isComplete() || completeHead();
-}
-
-auto HttpTransfer::completeHead() -> bool
-{
-    m_response.status = m_head.status();
-    m_response.headers = m_head.headers();
-    m_responseError = headError();
-    return !m_responseError;
-}
-
-// Returns why the header shows that the response is not usable, before its body is read.
-auto HttpTransfer::headError() const -> std::optional<Error>
-{
-    const auto &headers = m_response.headers;
-    const auto &expected = m_options.correlationHeader;
-    const auto found = expected ? headers.find(expected->first) : std::nullopt;
-    if (found && *found != expected->second) {
-        return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer to another request"};
-    }
-    if (m_response.status == statusSwitchingProtocols) {
-        return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer changes the protocol"};
-    }
-    if (m_response.status >= statusFirstFinal && m_options.canAnswer
-        && !m_options.canAnswer(m_response)) {
-        return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer to another request"};
-    }
-    if (m_response.status < statusFirstFinal || hasNoBody()) {
-        return std::nullopt;
-    }
-    const auto transferEncoding = headers.find("transfer-encoding");
-    if (transferEncoding && !equalsIgnoringCase(*transferEncoding, "chunked")) {
-        // libcurl reads other codings to the end of the connection.
-        return Error{.code = ErrorCode::ProtocolViolation,
-                     .detail = "answer has an unknown transfer coding"};
-    }
-    const auto length = headers.find("content-length");
-    if (!length && !transferEncoding && !m_acceptsCloseDelimited) {
-        return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer announces no length"};
-    }
-    if (length && parseLength(*length).value_or(0) > m_maxBodyBytes) {
-        return tooLarge("body", m_maxBodyBytes);
-    }
-    return std::nullopt;
-}
-
-auto HttpTransfer::appendBody(std::string_view data) -> bool
-{
-    if (data.size() > m_maxBodyBytes - m_response.body.size()) {
-        m_responseError = tooLarge("body", m_maxBodyBytes);
-        return false;
-    }
-    if (!m_budget.take(m_response.body.size(), data.size())) {
-        m_responseError = Error{.code = ErrorCode::LimitExceeded,
-                                .detail = "no memory left for the body of the answer"};
-        return false;
-    }
-    m_response.body.append(data);
-    return true;
-}
-
-// Returns whether the bytes read so far are mostly chunk framing. Trailers are limited as headers.
-auto HttpTransfer::framingTooLarge() const -> bool
-{
-    const auto size = m_response.body.size();
-    return m_bodyBytesReceived > m_maxHeadBytes + size * (1 + maxFramingRatio);
+    return m_response.addHeaderLine(line);
 }
 
 // Returns the id of the request, or an empty text if its responses have none.
@@ -375,75 +267,11 @@
     return header ? std::string_view(header->second) : std::string_view();
 }
 
-auto HttpTransfer::isAttributed() const -> bool
-{
-    const auto id = correlationId();
-    return m_newConnection
-        || (!id.empty() && m_response.headers.find(m_options.correlationHeader->first) == id);
-}
-
-// Returns whether the response has no body, whatever its header announces.
-auto HttpTransfer::hasNoBody() const -> bool
-{
-    return m_request.method == "HEAD" || statusHasNoBody(m_response.status);
-}
-
-auto HttpTransfer::bodyEnd() const -> BodyEnd
-{
-    if (hasNoBody() || m_response.headers.find("content-length")) {
-        return BodyEnd::Length;
-    }
-    return m_response.headers.find("transfer-encoding") ? BodyEnd::LastChunk
-                                                        : BodyEnd::ConnectionEnd;
-}
-
-// Returns why the length of the response body is ambiguous or wrong, or an empty string. libcurl
-// accepts such responses, but a router must not forward them as complete.
-auto HttpTransfer::framingError() const -> std::string
-{
-    if (!m_head.isComplete()) {
-        return "answer ends within its header";
-    }
-    const auto &headers = m_response.headers;
-    auto lengths = std::vector<std::string_view>{};
-    auto codings = std::size_t{0};
-    for (const auto &[name, value] : headers.fields()) {
-        if (name == "content-length") {
-            lengths.emplace_back(value);
-        }
-        codings += name == "transfer-encoding" ? 1U : 0U;
-    }
-    if (lengths.size() + codings > 1) {
-        return "answer announces its length more than once";
-    }
-    if (hasNoBody()) {
-        return m_bodyBytesReceived == 0 ? "" : "answer without a body has one";
-    }
-    if (codings > 0) {
-        return {};
-    }
-    if (lengths.empty()) {
-        return m_acceptsCloseDelimited ? "" : "answer announces no length";
-    }
-    const auto contentLength = parseLength(lengths.front());
-    if (contentLength != m_response.body.size() || contentLength != m_bodyBytesReceived) {
-        return "answer announces " + std::string(lengths.front()) + " bytes, has "
-            + std::to_string(m_bodyBytesReceived);
-    }
-    return {};
-}
-
-auto HttpTransfer::tooLarge(const std::string &part, std::size_t limit) const -> Error
-{
-    return {.code = ErrorCode::LimitExceeded,
-            .detail = part + " of the answer is larger than " + std::to_string(limit) + " bytes"};
-}
-
 auto HttpTransfer::toError(CURLcode code) const -> Error
 {
     const auto sent = std::to_string(bytesSent()) + " bytes sent";
-    if (m_responseError) {
-        return {.code = m_responseError->code, .detail = m_responseError->detail + ", " + sent};
+    if (const auto &error = m_response.error()) {
+        return {.code = error->code, .detail = error->detail + ", " + sent};
     }
     if (m_resendBlocked) {
         return {.code = ErrorCode::ConnectionFailed,
@@ -483,16 +311,14 @@
         outcome.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
         return outcome;
     }
-    if (auto fault = framingError(); !fault.empty()) {
+    if (auto fault = m_response.framingError(); !fault.empty()) {
         outcome.error = Error{.code = ErrorCode::ProtocolViolation, .detail = std::move(fault)};
         outcome.verdict = Verdict::MayHaveRun;
         return outcome;
     }
     outcome.verdict = Verdict::Ran;
-    outcome.attributed = isAttributed();
-    m_response.bodyEnd = bodyEnd();
-    m_budget.release(m_response.body.size());
-    outcome.response = std::exchange(m_response, {});
+    outcome.attributed = m_newConnection || m_response.isCorrelated();
+    outcome.response = m_response.take();
     return outcome;
 }
 
@@ -517,23 +343,20 @@
 {
     auto *transfer = static_cast<HttpTransfer *>(self);
     transfer->recordProgress();
-    return transfer->appendBody({data, size * count}) ? size * count : 0;
+    return transfer->m_response.addBody({data, size * count}) ? size * count : 0;
 }
 
 auto HttpTransfer::onProgress(void *self, curl_off_t, curl_off_t, curl_off_t, curl_off_t) -> int
 {
     // Unless decoding failed, libcurl has decoded all bytes it has read when it calls this.
     auto *transfer = static_cast<HttpTransfer *>(self);
-    if (transfer->framingTooLarge()) {
-        transfer->m_responseError = transfer->tooLarge("chunk framing", transfer->m_maxHeadBytes);
-    }
-    return transfer->m_responseError ? 1 : 0;
+    return transfer->m_response.checkChunkFraming() ? 0 : 1;
 }
 
 auto HttpTransfer::onDebug(CURL *, curl_infotype type, char *, size_t size, void *self) -> int
 {
     if (type == CURLINFO_DATA_IN) {
-        static_cast<HttpTransfer *>(self)->m_bodyBytesReceived += size;
+        static_cast<HttpTransfer *>(self)->m_response.countBodyBytes(size);
     }
     return 0;
 }
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "figlanding/response_head.h"
 #include "io/connection_registry.h"
 #include "io/http_client.h"
+#include "io/received_response.h"
 #include "io/response_budget.h"
 
 #include <curl/curl.h>
 
-#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// @file
@@ -16,7 +16,7 @@
 
 namespace figlanding {
 
-/// Sends one request at a time and collects the response.
+/// Sends one request at a time and collects the response, which ReceivedResponse checks.
 ///
 /// libcurl resends a request on its own when a reused connection is closed without a response.
 /// HttpTransfer prevents that once a byte of the request has been sent, since the server may have
@@ -70,17 +70,8 @@
     [[nodiscard]] auto mayUse(int socket) const -> bool;
     auto startRequest(int socket) -> void;
     auto appendHeaderLine(std::string_view line) -> bool;
-    auto completeHead() -> bool;
-    [[nodiscard]] auto framingTooLarge() const -> bool;
-    auto appendBody(std::string_view data) -> bool;
     [[nodiscard]] auto bytesSent() const -> curl_off_t;
     [[nodiscard]] auto correlationId() const -> std::string_view;
-    [[nodiscard]] auto isAttributed() const -> bool;
-    [[nodiscard]] auto hasNoBody() const -> bool;
-    [[nodiscard]] auto bodyEnd() const -> BodyEnd;
-    [[nodiscard]] auto headError() const -> std::optional<Error>;
-    [[nodiscard]] auto framingError() const -> std::string;
-    [[nodiscard]] auto tooLarge(const std::string &part, std::size_t limit) const -> Error;
     [[nodiscard]] auto toError(CURLcode code) const -> Error;
 
     static auto onPreRequest(void *self, char *remoteIp, char *localIp, int remotePort,
@@ -95,11 +86,7 @@
     static auto onSocketOptions(void *self, curl_socket_t fd, curlsocktype purpose) -> int;
 
     ConnectionRegistry &m_registry;
-    ResponseBudget &m_budget;
-    std::size_t m_maxHeadBytes;
-    std::size_t m_maxBodyBytes;
     milliseconds m_tcpUserTimeout;
-    bool m_acceptsCloseDelimited;
     CURL *m_easy;
 
     HttpClient::CallId m_id = 0;
@@ -111,16 +98,12 @@
     std::vector<std::string> m_headerLines;
     std::vector<curl_slist> m_headerNodes;
 
-    ResponseHead m_head;
-    HttpResponse m_response; ///< with status and fields once the header is complete
-    std::size_t m_headBytes = 0; ///< of all responses of the call, with their trailers
-    std::uint64_t m_bodyBytesReceived = 0; ///< before chunked decoding
+    ReceivedResponse m_response;
     int m_openedSocket = -1; ///< opened by this call and not registered yet
     int m_socket = -1; ///< carries the request
     bool m_newConnection = false;
     bool m_connectionDeclined = false; ///< the reused connection must not carry the request
     bool m_resendBlocked = false; ///< libcurl's automatic resend was prevented
-    std::optional<Error> m_responseError; ///< why the client stopped reading the response
 };
 
 } // namespace figlanding
