Give the request path's decisions on owners, responses and ends places of their own

Between the steps stood what a key's owner must be like for a request to be sent to it, which rejection of a server is believed, and how the record of a request is completed; each is a rule of its own. The test of the retry budget and the return of a slot that is no longer right stood twice.

Moved: decideByKeyOwner() (src/gateway/key_owner_decision.h) says whether a request asks the owner of its key, waits or is refused, as plain code without the path. ResponseTrust (response_trust.h) reads the responses of servers with ConnectionTrust and records rejections. RequestCompletion (request_completion.h) completes the record, reports it and then answers the caller. Within RequestPath, the check of a grant and the call to the server are two functions, and each of the two repeated pieces stands once.

--- a/include/figlanding/gateway/caller_protocol.h
+++ b/include/figlanding/gateway/caller_protocol.h
@@ -46,7 +46,7 @@
     NotRun, ///< the server reports that it did not run the request
     WrongServer, ///< not run: a different server responded, or one that does not own the key
     Foreign, ///< response to a different request, or not from the server
-    /// A rejection that may belong to no request. RequestPath sets it, see ConnectionTrust.
+    /// A rejection that may belong to no request. ResponseTrust sets it, see ConnectionTrust.
     Unproven,
 };
 
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include "figlanding/gateway/caller_protocol.h"
-#include "figlanding/gateway/connection_trust.h"
 #include "figlanding/gateway/server_pauses.h"
 #include "figlanding/gateway/server_registry.h"
 #include "gateway/active_request.h"
+#include "gateway/key_owner_decision.h"
 #include "gateway/request_admission.h"
+#include "gateway/request_completion.h"
 #include "gateway/request_refusals.h"
 #include "gateway/request_retries.h"
+#include "gateway/response_trust.h"
 #include "gateway/slot_client.h"
 #include "gateway/slot_end_of.h"
 #include "io/http_client.h"
@@ -17,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <utility>
+#include <variant>
 #include <vector>
 
 /// @file
@@ -75,6 +78,7 @@
         , m_retries({.ratio = m_options.retryRatio,
                      .reserve = m_options.retryReserve,
                      .minTimeToSend = m_options.minTimeToSend})
+        , m_completion(m_loop, m_admission, m_handlers.onEnd)
     { }
     RequestPath(const RequestPath &) = delete;
     auto operator=(const RequestPath &) -> RequestPath & = delete;
@@ -123,7 +127,7 @@
     auto tick(TimePoint now) -> void
     {
         m_pauses.expire(now);
-        m_connectionTrust.expire(now);
+        m_responseTrust.expire(now);
         auto due = std::vector<std::uint64_t>{};
         for (const auto &[number, active] : m_requests) {
             if (now >= active.deadline || isTooLong(active)
@@ -228,34 +232,14 @@
     {
         auto &active = m_requests.at(number);
         const auto now = m_loop.now();
-        if (owner.server.empty()) {
+        auto decision = decideByKeyOwner(m_handlers.registry(), owner, active,
+                                         m_options.longestWaitForMove, now);
+        if (std::holds_alternative<AwaitOwner>(decision)) {
             dispatchLater(active, now);
-            return true;
-        }
-        switch (m_handlers.registry().ownerState(owner)) {
-        case OwnerState::Usable:
-        case OwnerState::Unknown:
-            return false;
-        case OwnerState::Restarted:
-            if (now - active.receivedAt < m_options.longestWaitForMove) {
-                dispatchLater(active, now);
-            } else {
-                refuse(number, refusalWhileKeyMoves(active.verdict));
-            }
-            return true;
-        case OwnerState::Leaving:
-            refuse(number, refusalWhileKeyMoves(active.verdict));
-            return true;
-        case OwnerState::Gone:
-            refuse(number, refusalWithoutOwner(active.verdict, goneFor(owner, now)));
-            return true;
+        } else if (auto *refusal = std::get_if<Refusal>(&decision)) {
+            refuse(number, std::move(*refusal));
         }
-        return false;
-    }
-
-    [[nodiscard]] auto goneFor(const ServerIncarnation &owner, TimePoint now) const -> Duration
-    {
-        return now - m_handlers.registry().goneSince(owner.server).value_or(now);
+        return !std::holds_alternative<AskOwner>(decision);
     }
 
     // Delays a request until the key has an owner again or a usable server may be granted.
@@ -266,12 +250,12 @@
         active.dispatchAt = now + pause;
     }
 
+    // Sends a request to the server that was granted, unless that is no longer right.
     auto send(std::uint64_t number, const ServerIncarnation &incarnation) -> void
     {
         auto &active = m_requests.at(number);
         const auto now = m_loop.now();
         const auto *server = m_handlers.registry().find(incarnation.server);
-        const auto timeLeft = std::chrono::duration_cast<milliseconds>(active.deadline - now);
         const auto otherService = server != nullptr && server->entry.service != active.service;
         if (otherService) {
             m_handlers.onOtherService(active.record, server->entry);
@@ -280,27 +264,29 @@
         const auto usable = server != nullptr && !otherService
             && server->entry.startedUnixMs == incarnation.startedUnixMs
             && m_handlers.registry().acceptsRequests(*server);
-        if (!usable || timeLeft < m_options.minTimeToSend) {
+        if (!usable || timeLeftOf(active, now) < m_options.minTimeToSend) {
             m_slots.release(number, {.end = SlotEnd::Abandoned}, now);
             active.excluded.push_back(incarnation.server);
             dispatchLater(active, now);
             return;
         }
-        if (m_pauses.isPaused(incarnation, now)) {
-            // The server asked for the pause while the request waited for its slot.
-            m_slots.release(number, {.end = SlotEnd::Abandoned}, now);
-            active.stage = Stage::Idle;
-            active.dispatchAt = now;
-            return;
-        }
-        if (keyHasMoved(active, incarnation.server)) {
+        // While the request waited, the server may have asked for a pause, or the key have moved.
+        if (m_pauses.isPaused(incarnation, now) || keyHasMoved(active, incarnation.server)) {
             m_slots.release(number, {.end = SlotEnd::Abandoned}, now);
             active.stage = Stage::Idle;
             active.dispatchAt = now;
             return;
         }
+        callServer(number, incarnation, server->entry.address, now);
+    }
+
+    auto callServer(std::uint64_t number, const ServerIncarnation &incarnation,
+                    const SocketAddress &address, TimePoint now) -> void
+    {
+        auto &active = m_requests.at(number);
+        const auto timeLeft = timeLeftOf(active, now);
         const auto freshConnection =
-            m_connectionTrust.takeNewConnection(incarnation, active.route->repeatability, now);
+            m_responseTrust.takeNewConnection(incarnation, active.route->repeatability, now);
         active.stage = Stage::AwaitingResponse;
         active.server = incarnation;
         active.sentAt = now;
@@ -311,7 +297,7 @@
         const auto attempt = active.attempts;
         const auto &original = active.exchange->request();
         active.call = m_client.call(
-            server->entry.address,
+            address,
             Protocol::serverRequest(
                 original,
                 {.server = incarnation.server, .timeLeft = timeLeft, .team = active.team}),
@@ -328,6 +314,11 @@
             });
     }
 
+    [[nodiscard]] static auto timeLeftOf(const ActiveRequest &active, TimePoint now) -> milliseconds
+    {
+        return std::chrono::duration_cast<milliseconds>(active.deadline - now);
+    }
+
     // Returns whether the request's key got another owner while the request waited for a slot.
     [[nodiscard]] auto keyHasMoved(const ActiveRequest &active, const BackendServerId &server) const
         -> bool
@@ -346,16 +337,14 @@
             m_slots.release(number, {.end = slotEndOf(outcome), .elapsed = now - active.sentAt},
                             now);
             active.record.detail = describe(outcome.error);
-            if (outcome.error.code == ErrorCode::ProtocolViolation) {
-                m_connectionTrust.addViolation(active.server, now);
-            }
+            m_responseTrust.onFailure(active, outcome, now);
             if (outcome.verdict == Verdict::NotRun) {
                 active.attempts -= 1;
             }
             retryOrRefuse(number, outcome.verdict);
             return;
         }
-        const auto response = readResponse(active, outcome, now);
+        const auto response = m_responseTrust.read(active, outcome, now);
         m_slots.release(number,
                         {.end = slotEndOf(response.kind),
                          .elapsed = now - active.sentAt,
@@ -392,28 +381,6 @@
         }
     }
 
-    // Evaluates a response. Of a rejection that may belong to no request, nothing is used.
-    auto readResponse(ActiveRequest &active, const HttpOutcome &outcome, TimePoint now)
-        -> ServerResponse
-    {
-        auto response = Protocol::readResponse(outcome.response, active.caller.id);
-        const auto rejected =
-            response.kind == ResponseKind::NotRun || response.kind == ResponseKind::WrongServer;
-        if (rejected) {
-            active.record.rejection = {.status = outcome.response.status,
-                                       .identified = response.identified,
-                                       .firstOnConnection = outcome.newConnection};
-        }
-        if (!rejected) {
-            return response;
-        }
-        // A server cannot return an id that the caller did not send.
-        if (!response.identified && !active.caller.id.empty()) {
-            m_connectionTrust.addRejection(active.server, outcome.newConnection, now);
-        }
-        return outcome.attributed ? response : ServerResponse{.kind = ResponseKind::Unproven};
-    }
-
     // Takes over the terms that bind this VM; the limit goes to the VM that allocates the slots.
     auto applyTerms(const ActiveRequest &active, const ServerTerms &terms, TimePoint now) -> void
     {
@@ -433,9 +400,7 @@
         auto &active = m_requests.at(number);
         active.verdict = Verdict::Ran;
         constexpr auto firstServerError = 500;
-        if (response.status >= firstServerError
-            && m_retries.isRetryable(active, Verdict::Ran, m_loop.now())
-            && m_retries.take(active.service)) {
+        if (response.status >= firstServerError && takeRetry(active, Verdict::Ran)) {
             retry(active);
             return;
         }
@@ -449,6 +414,14 @@
         respond(number, std::move(response));
     }
 
+    // Returns whether route, deadline and the retry budget allow another attempt, which is then
+    // withdrawn from the budget.
+    [[nodiscard]] auto takeRetry(const ActiveRequest &active, Verdict verdict) -> bool
+    {
+        return m_retries.isRetryable(active, verdict, m_loop.now())
+            && m_retries.take(active.service);
+    }
+
     // Schedules a retry: without a key at once and at another server, with a key at the owner after
     // a delay.
     auto retry(ActiveRequest &active) -> void
@@ -468,8 +441,7 @@
     {
         auto &active = m_requests.at(number);
         active.verdict = combine(active.verdict, verdict);
-        if (m_retries.isRetryable(active, verdict, m_loop.now())
-            && m_retries.take(active.service)) {
+        if (takeRetry(active, verdict)) {
             retry(active);
             return;
         }
@@ -516,41 +488,13 @@
     auto respond(std::uint64_t number, HttpResponse response) -> void
     {
         auto entry = m_requests.extract(number);
-        auto &active = entry.mapped();
-        active.record.status = response.status;
-        active.record.verdict = Verdict::Ran;
-        active.record.bodyEnd = response.bodyEnd;
-        recordEnd(active);
-        if (active.exchange) {
-            active.exchange->respond(Protocol::callerResponse(std::move(response)));
-        }
+        m_completion.respond(entry.mapped(), std::move(response));
     }
 
     auto refuse(std::uint64_t number, Refusal refusal) -> void
     {
         auto entry = m_requests.extract(number);
-        auto &active = entry.mapped();
-        active.verdict = combine(active.verdict, refusal.verdict);
-        refusal.verdict = active.verdict;
-        auto response = Protocol::refusal(refusal, active.caller.id);
-        active.record.status = response.status;
-        active.record.verdict = active.verdict;
-        active.record.refusal = refusal.reason;
-        if (active.record.detail.empty()) {
-            active.record.detail = refusal.detail;
-        }
-        recordEnd(active);
-        if (active.exchange) {
-            active.exchange->respond(std::move(response));
-        }
-    }
-
-    // Completes the record of a request and reports it.
-    auto recordEnd(ActiveRequest &active) -> void
-    {
-        active.record.elapsed = m_loop.now() - active.receivedAt;
-        m_admission.onEnd(active);
-        m_handlers.onEnd(active.record);
+        m_completion.refuse(entry.mapped(), std::move(refusal));
     }
 
     // Handles a disconnected caller: cancels its request. A request that must run at most once and
@@ -567,9 +511,7 @@
             return;
         }
         withdraw(number, SlotEnd::Abandoned);
-        active.record.detail = "caller left";
-        active.record.verdict = active.verdict;
-        recordEnd(active);
+        m_completion.abandon(active);
         m_requests.erase(found);
     }
 
@@ -580,8 +522,9 @@
     RequestPathHandlers m_handlers;
     RequestAdmission m_admission;
     RequestRetries m_retries;
+    RequestCompletion<Protocol> m_completion;
     ServerPauses m_pauses;
-    ConnectionTrust m_connectionTrust;
+    ResponseTrust<Protocol> m_responseTrust;
     std::map<std::uint64_t, ActiveRequest> m_requests;
     std::uint64_t m_nextNumber = 1;
     TimePoint m_stopAt = TimePoint::max();
