--- a/src/daemon/dispatched_server.cpp
+++ b/src/daemon/dispatched_server.cpp
@@ -2,12 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <string_view>
+
 namespace figlanding {
 
 namespace {
 
 constexpr milliseconds probeTimeout{400};
 constexpr unsigned failuresToSuspect = 2;
+constexpr int statusOk = 200;
+/// Only responses to requests have it.
+constexpr std::string_view requestIdHeader = "figlanding-request-id";
 
 auto admissionOptionsOf(const BackendServer &server) -> AdmissionOptions
 {
@@ -74,6 +79,11 @@
         return;
     }
     m_failures = 0;
+    // Probes use the connections of requests. A late copy of the response to one shows that the
+    // server runs, but does not tell its state.
+    if (outcome.response.status != statusOk || outcome.response.headers.find(requestIdHeader)) {
+        return;
+    }
     const auto body = nlohmann::json::parse(outcome.response.body, nullptr, false);
     if (!body.is_object()) {
         return;
--- a/tests/contract/dispatcher_test.cpp
+++ b/tests/contract/dispatcher_test.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace figlanding;
 using figlanding::testing::RawAction;
@@ -66,6 +68,7 @@
     }
 
     bool probed = false; // the server has answered a probe
+    std::vector<std::string> bootIds; // from responses to probes
     ClusterState state = oneServerState();
     EventLoop loop;
     HttpClient client{loop, {}};
@@ -74,7 +77,11 @@
                           {.self = self, .incarnation = incarnation, .timing = {}},
                           {.state = [this]() -> const ClusterState & { return state; },
                            .viewIsFresh = [] { return true; },
-                           .onBootId = [this](const auto &, const auto &) { probed = true; },
+                           .onBootId =
+                               [this](const auto &, const auto &bootId) {
+                                   probed = true;
+                                   bootIds.push_back(bootId);
+                               },
                            .onHandOver = [](const auto &, const auto &, const auto &) {},
                            .onCrash = [](const auto &) {},
                            .unixNow = [] { return milliseconds(0); }}};
@@ -149,3 +156,23 @@
         running.loop, [&] { return second.has_value(); }, seconds(2)));
     CHECK(std::holds_alternative<HttpResponse>(*second));
 }
+
+// Guards against a crash that is reported because of a response to a request.
+TEST_CASE("a response that is none to a probe does not tell the boot id of the server")
+{
+    const auto readRequest = figlanding::testing::RawStep{RawAction::ReadRequest, {}};
+    const auto hold = figlanding::testing::RawStep{RawAction::Hold, {}};
+    const auto healthy = response("200 OK\r\n", R"({"boot_id":"b"})");
+    for (const auto *head :
+         {"503 Service Unavailable\r\n", "200 OK\r\nfiglanding-request-id: request-1\r\n"}) {
+        CAPTURE(head);
+        auto raw = RawServer({{readRequest, healthy, readRequest,
+                               response(head, R"({"boot_id":"c"})"), readRequest, healthy, hold}});
+        auto running = IdleDispatcher(raw.address());
+        REQUIRE(runUntil(
+            running.loop, [&] { return raw.requests().size() >= 3 && running.bootIds.size() >= 2; },
+            seconds(5)));
+        CHECK(running.bootIds == std::vector<std::string>{"b", "b"});
+        CHECK(running.dispatcher.suspectedServers().empty());
+    }
+}
