--- a/src/daemon/controller_driver.cpp
+++ b/src/daemon/controller_driver.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace figlanding {
 
 namespace {
@@ -11,6 +13,20 @@
 
 } // namespace
 
+auto postCommand(HttpClient &client, const SocketAddress &address, const char *path,
+                 std::string body, std::function<void()> onAcknowledged) -> void
+{
+    client.call(address, {.method = "POST", .target = path, .body = std::move(body)},
+                {.timeout = serverRequestTimeout,
+                 .connectTimeout = serverRequestTimeout,
+                 .freshConnection = true},
+                [acknowledge = std::move(onAcknowledged)](const HttpOutcome &outcome) {
+                    if (outcome.verdict == Verdict::Ran && outcome.response.status == 200) {
+                        acknowledge();
+                    }
+                });
+}
+
 ControllerDriver::ControllerDriver(EventLoop &loop, HttpClient &client, ControllerOptions options,
                                    ControllerDriverHandlers handlers)
     : m_loop(loop)
@@ -49,14 +65,8 @@
                                      {"fence", command.fence},
                                      {"shards", command.shards},
                                      {"keys", command.keys}};
-    m_client.call(found->second.object.address,
-                  {.method = "POST", .target = path, .body = body.dump()},
-                  {.timeout = serverRequestTimeout, .connectTimeout = serverRequestTimeout},
-                  [acknowledge = std::move(onAcknowledged)](const HttpOutcome &outcome) {
-                      if (outcome.verdict == Verdict::Ran && outcome.response.status == 200) {
-                          acknowledge();
-                      }
-                  });
+    postCommand(m_client, found->second.object.address, path, body.dump(),
+                std::move(onAcknowledged));
 }
 
 auto ControllerDriver::run(const RevokeShards &action) -> void
--- a/src/daemon/controller_driver.h
+++ b/src/daemon/controller_driver.h
@@ -20,6 +20,13 @@
     std::function<void(const Record &)> append;
 };
 
+/// Posts a command for shards to a server, over a new connection. Responses to commands have no id,
+/// and shards move on as soon as one is acknowledged; on a new connection no earlier response can
+/// arrive in place of the acknowledgement.
+/// @param onAcknowledged runs only if the server responds with 200
+auto postCommand(HttpClient &client, const SocketAddress &address, const char *path,
+                 std::string body, std::function<void()> onAcknowledged) -> void;
+
 /// Runs a Controller at a fixed interval and turns its actions into log appends and into HTTP
 /// requests to backend servers.
 class ControllerDriver
