Read the outcome of a dispatched request apart from the dispatcher

Hard to read: Dispatcher::onOutcome decided in five branches what an outcome means and acted on it in each, through a lambda that held half of the effects; the message to the server and the options of its call were built among the queues, leases and hand-overs.

The logic, the texts and the order of effects are unchanged: the evidence of crashes, the slot, the probe after a lost answer, the caller, the queue.

--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "daemon/dispatcher.h"
 
+#include "daemon/server_exchange.h"
 #include "figlanding/sharding.h"
 
 #include <algorithm>
@@ -9,23 +10,10 @@
 namespace {
 
 constexpr milliseconds queueCheckInterval{10};
-// Non-idempotent requests reuse only connections that were used within this time, which are taken
-// to be still open.
-constexpr milliseconds nonIdempotentMaxIdleAge{500};
-constexpr int fenceConflictStatus = 409;
-constexpr std::string_view requestIdHeader = "figlanding-request-id";
 
-// Whether the server states that it did not run the request.
-auto isNotRunOutcome(const HttpOutcome &outcome) -> bool
+auto refusal(RefusalReason reason, std::string detail) -> Refusal
 {
-    const auto &response = outcome.response;
-    return outcome.attributed && (response.status == 503 || response.status == fenceConflictStatus)
-        && response.headers.find("figlanding-not-run") == "true";
-}
-
-auto refusal(RefusalReason reason, std::string detail, Verdict verdict = Verdict::NotRun) -> Refusal
-{
-    return {.reason = reason, .detail = std::move(detail), .verdict = verdict};
+    return {.reason = reason, .detail = std::move(detail), .verdict = Verdict::NotRun};
 }
 
 } // namespace
@@ -140,43 +128,12 @@
     call.sentAt = now;
     call.deadline = now + remaining;
     const auto &address = m_servers.at(call.request.server)->server().address;
-    const auto options = HttpCallOptions{
-        .timeout = timeout,
-        .connectTimeout = timeout,
-        .freshConnection = false,
-        .maxIdleAge = call.request.idempotent ? milliseconds(10000) : nonIdempotentMaxIdleAge,
-        .correlationHeader = std::pair(std::string(requestIdHeader), call.request.requestId)};
     call.httpCall =
-        m_client.call(address, serverRequest(call, remaining), options,
+        m_client.call(address, serverRequest(call.request, m_handlers.state(), remaining),
+                      serverCallOptions(call.request, timeout),
                       [this, id](HttpOutcome outcome) { onOutcome(id, std::move(outcome)); });
 }
 
-auto Dispatcher::serverRequest(const Call &call, Duration remaining) const -> HttpRequest
-{
-    auto request = call.request.http;
-    auto &headers = request.headers;
-    headers.set(requestIdHeader, call.request.requestId);
-    headers.set("figlanding-deadline-ms",
-                std::to_string(std::chrono::duration_cast<milliseconds>(remaining).count()));
-    if (!call.request.team.empty()) {
-        headers.set("figlanding-team", call.request.team.value());
-    }
-    if (!call.request.exclusive) {
-        return request;
-    }
-    const auto &state = m_handlers.state();
-    const auto &assignments = state.assignments.at(call.request.service);
-    const auto *assignment = assignmentForKey(state, call.request.service, call.request.routingKey);
-    const auto count = static_cast<std::uint32_t>(assignments.shards.size());
-    const auto isolated = assignments.isolatedKeys.contains(call.request.routingKey);
-    headers.set("figlanding-service", call.request.service.value());
-    headers.set("figlanding-shard",
-                isolated ? "key:" + call.request.routingKey
-                         : std::to_string(shardOf(call.request.routingKey, count)));
-    headers.set("figlanding-fence", std::to_string(assignment->fence));
-    return request;
-}
-
 auto Dispatcher::onOutcome(DispatchId id, HttpOutcome outcome) -> void
 {
     const auto found = m_calls.find(id);
@@ -187,46 +144,20 @@
     const auto server = call.request.server;
     const auto now = m_loop.now();
     const auto serverEntry = m_servers.find(server);
-    const auto end = [&](RequestEnd how) {
-        if (how == RequestEnd::Lost) {
-            m_poisonDetector.onNoAnswer(server, call.request.digest, now);
-        } else {
-            m_poisonDetector.onAnswer(server, call.request.digest, now);
-        }
-        if (serverEntry != m_servers.end()) {
-            serverEntry->second->admission().finish(id, how, now - call.sentAt, now);
-        }
-    };
-    if (outcome.verdict == Verdict::NotRun) {
-        end(RequestEnd::NotSent);
-        finish(id, refusal(RefusalReason::ServerUnreachable, describe(outcome.error)));
-    } else if (outcome.verdict == Verdict::MayHaveRun) {
-        end(RequestEnd::Lost);
-        if (serverEntry != m_servers.end()) {
+    const auto lost = outcome.verdict == Verdict::MayHaveRun;
+    auto answer = readServerOutcome(call.request, std::move(outcome));
+    if (answer.end == RequestEnd::Lost) {
+        m_poisonDetector.onNoAnswer(server, call.request.digest, now);
+    } else {
+        m_poisonDetector.onAnswer(server, call.request.digest, now);
+    }
+    if (serverEntry != m_servers.end()) {
+        serverEntry->second->admission().finish(id, answer.end, now - call.sentAt, now);
+        if (lost) {
             serverEntry->second->probe();
         }
-        finish(id,
-               Refusal{.reason = RefusalReason::AnswerLost,
-                       .detail = describe(outcome.error),
-                       .verdict = Verdict::MayHaveRun});
-    } else if (isNotRunOutcome(outcome)) {
-        end(RequestEnd::Shed);
-        // The server reports a fence conflict until it receives its grant, which is sent only after
-        // the move is committed.
-        const auto fenced = outcome.response.status == fenceConflictStatus;
-        finish(id,
-               refusal(fenced ? RefusalReason::KeyIsMoving : RefusalReason::ServerDeclined,
-                       "server \"" + server.value() + "\""));
-    } else if (outcome.response.headers.find(requestIdHeader) != call.request.requestId) {
-        end(RequestEnd::Lost);
-        finish(id,
-               Refusal{.reason = RefusalReason::AnswerLost,
-                       .detail = "the server answered another request",
-                       .verdict = Verdict::MayHaveRun});
-    } else {
-        end(RequestEnd::Answered);
-        finish(id, std::move(outcome.response));
     }
+    finish(id, std::move(answer.result));
     processQueue(server);
 }
 
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -112,7 +112,6 @@
         -> bool;
     auto submit(DispatchId id) -> void;
     auto send(DispatchId id) -> void;
-    [[nodiscard]] auto serverRequest(const Call &call, Duration remaining) const -> HttpRequest;
     auto onOutcome(DispatchId id, HttpOutcome outcome) -> void;
     auto recordCrash(const BackendServerId &server, const std::string &bootId) -> void;
     auto finish(DispatchId id, DispatchResult result) -> void;
