Keep the streams of a connection between VMs apart from its session

Hard to read: PeerConnection::Impl had the socket, the session of nghttp2 and the messages of every stream in one struct, and each callback of nghttp2 searched the stream, chose by role and then did its work. Whether a request has run was decided in two of them.

Moved: PeerStreams (src/io/peer_streams.h) assembles the messages that arrive, holds the bodies that leave and decides at the end of a stream whether its request has run.

The logic, the texts and the order of effects are unchanged: callbacks run after their stream was taken out, as before, and the handlers are read from the connection each time, which may have dropped them.

--- a/src/io/peer_connection.cpp
+++ b/src/io/peer_connection.cpp
@@ -1,17 +1,17 @@
 #include "io/peer_connection.h"
 
+#include "io/peer_streams.h"
+
 #include <nghttp2/nghttp2.h>
 
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <deque>
-#include <map>
+#include <utility>
 #include <vector>
 
 namespace figlanding {
@@ -23,18 +23,6 @@
 constexpr std::uint32_t maxConcurrentStreams = 100000;
 constexpr std::size_t readBufferBytes = std::size_t{64} * 1024;
 
-// One request and its response on a connection.
-struct Stream
-{
-    HttpRequest request; // being received (server) or sent (client)
-    HttpResponse response; // being received (client) or sent (server)
-    std::string outgoing; // body being sent
-    std::size_t sentBytes = 0;
-    bool bodySent = false; // nghttp2 has read the whole body
-    bool responded = false; // client: complete response received; server: response submitted
-    PeerConnection::ResponseCallback callback;
-};
-
 auto headerField(std::string_view name, std::string_view value) -> nghttp2_nv
 {
     nghttp2_nv field{};
@@ -46,13 +34,6 @@
     return field;
 }
 
-auto parseStatus(std::string_view text) -> int
-{
-    auto status = 0;
-    std::from_chars(text.data(), text.data() + text.size(), status);
-    return status;
-}
-
 } // namespace
 
 struct PeerConnection::Impl : std::enable_shared_from_this<Impl>
@@ -63,7 +44,7 @@
     Handlers handlers;
     nghttp2_session *session = nullptr;
     std::shared_ptr<IoWatcher> watcher;
-    std::map<StreamId, Stream> streams;
+    PeerStreams streams;
     std::deque<std::function<void()>> pingCallbacks;
     std::string pendingWrite;
     bool closed = false;
@@ -74,6 +55,7 @@
         , fd(socket)
         , role(side)
         , handlers(std::move(events))
+        , streams(role, handlers)
     { }
 
     ~Impl()
@@ -93,7 +75,6 @@
     auto flush() -> void;
     auto flushUnlessNested() -> void;
     auto closeWith(const Error &reason) -> void;
-    auto finishStream(StreamId id, std::uint32_t errorCode) -> void;
     auto submitRequest(HttpRequest request, ResponseCallback callback) -> StreamId;
     auto submitResponse(StreamId id, HttpResponse response) -> void;
 
@@ -242,16 +223,7 @@
     post(loop, [finished = std::exchange(watcher, nullptr)] {});
     ::close(fd);
     fd = -1;
-    const auto open = std::exchange(streams, {});
-    for (const auto &[id, stream] : open) {
-        if (role == Role::Client && stream.callback) {
-            const auto verdict = stream.bodySent ? Verdict::MayHaveRun : Verdict::NotRun;
-            stream.callback({.verdict = verdict, .response = {}, .error = reason});
-        }
-        if (role == Role::Server && handlers.onRequestEnded) {
-            handlers.onRequestEnded(id);
-        }
-    }
+    streams.closeAll(reason);
     if (handlers.onClosed) {
         handlers.onClosed(reason);
     }
@@ -261,7 +233,7 @@
                                           void *userData) -> int
 {
     if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-        self(userData).streams.try_emplace(frame->hd.stream_id);
+        self(userData).streams.beginRequest(frame->hd.stream_id);
     }
     return 0;
 }
@@ -271,27 +243,9 @@
                                     const std::uint8_t *value, std::size_t valueLength,
                                     std::uint8_t, void *userData) -> int
 {
-    auto &impl = self(userData);
-    const auto found = impl.streams.find(frame->hd.stream_id);
-    if (found == impl.streams.end()) {
-        return 0;
-    }
-    const auto key = std::string_view(reinterpret_cast<const char *>(name), nameLength);
-    const auto text = std::string_view(reinterpret_cast<const char *>(value), valueLength);
-    auto &stream = found->second;
-    if (impl.role == Role::Client) {
-        if (key == ":status") {
-            stream.response.status = parseStatus(text);
-        } else if (!key.starts_with(':')) {
-            stream.response.headers.add(key, text);
-        }
-    } else if (key == ":method") {
-        stream.request.method = text;
-    } else if (key == ":path") {
-        stream.request.target = text;
-    } else if (!key.starts_with(':')) {
-        stream.request.headers.add(key, text);
-    }
+    self(userData).streams.addField(frame->hd.stream_id,
+                                    {reinterpret_cast<const char *>(name), nameLength},
+                                    {reinterpret_cast<const char *>(value), valueLength});
     return 0;
 }
 
@@ -299,18 +253,9 @@
                                        const std::uint8_t *data, std::size_t length, void *userData)
     -> int
 {
-    auto &impl = self(userData);
-    const auto found = impl.streams.find(id);
-    if (found == impl.streams.end()) {
-        return 0;
-    }
-    auto &body =
-        impl.role == Role::Client ? found->second.response.body : found->second.request.body;
-    if (body.size() + length > maxPeerBodyBytes) {
+    if (!self(userData).streams.addBody(id, {reinterpret_cast<const char *>(data), length})) {
         nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_ENHANCE_YOUR_CALM);
-        return 0;
     }
-    body.append(reinterpret_cast<const char *>(data), length);
     return 0;
 }
 
@@ -330,73 +275,29 @@
     if (!carriesMessage || (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0) {
         return 0;
     }
-    const auto found = impl.streams.find(frame->hd.stream_id);
-    if (found == impl.streams.end()) {
-        return 0;
-    }
-    auto &stream = found->second;
-    if (impl.role == Role::Server) {
-        impl.handlers.onRequest(frame->hd.stream_id, std::move(stream.request));
-        return 0;
-    }
-    stream.responded = true;
+    impl.streams.endMessage(frame->hd.stream_id);
     return 0;
 }
 
 auto PeerConnection::Impl::onStreamClose(nghttp2_session *, std::int32_t id,
                                          std::uint32_t errorCode, void *userData) -> int
 {
-    self(userData).finishStream(id, errorCode);
+    self(userData).streams.close(id, errorCode);
     return 0;
 }
 
-auto PeerConnection::Impl::finishStream(StreamId id, std::uint32_t errorCode) -> void
-{
-    const auto found = streams.find(id);
-    if (found == streams.end()) {
-        return;
-    }
-    auto stream = std::move(found->second);
-    streams.erase(found);
-    if (role == Role::Server) {
-        if (handlers.onRequestEnded) {
-            handlers.onRequestEnded(id);
-        }
-        return;
-    }
-    if (!stream.callback) {
-        return;
-    }
-    if (stream.responded && errorCode == NGHTTP2_NO_ERROR) {
-        stream.callback(
-            {.verdict = Verdict::Ran, .response = std::move(stream.response), .error = {}});
-        return;
-    }
-    const auto refused = errorCode == NGHTTP2_REFUSED_STREAM || !stream.bodySent;
-    stream.callback({.verdict = refused ? Verdict::NotRun : Verdict::MayHaveRun,
-                     .response = {},
-                     .error = {ErrorCode::ConnectionFailed,
-                               std::string("stream reset: ") + nghttp2_http2_strerror(errorCode)}});
-}
-
 auto PeerConnection::Impl::readBody(nghttp2_session *, std::int32_t id, std::uint8_t *buffer,
                                     std::size_t length, std::uint32_t *flags, nghttp2_data_source *,
                                     void *userData) -> ssize_t
 {
-    auto &impl = self(userData);
-    const auto found = impl.streams.find(id);
-    if (found == impl.streams.end()) {
+    const auto part = self(userData).streams.readBody(id, {buffer, length});
+    if (!part) {
         return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     }
-    auto &stream = found->second;
-    const auto count = std::min(length, stream.outgoing.size() - stream.sentBytes);
-    std::copy_n(stream.outgoing.data() + stream.sentBytes, count, buffer);
-    stream.sentBytes += count;
-    if (stream.sentBytes == stream.outgoing.size()) {
+    if (part->last) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
-        stream.bodySent = true;
     }
-    return static_cast<ssize_t>(count);
+    return static_cast<ssize_t>(part->size);
 }
 
 auto PeerConnection::Impl::submitRequest(HttpRequest request, ResponseCallback callback) -> StreamId
@@ -419,17 +320,14 @@
                   .error = {ErrorCode::ConnectionFailed, nghttp2_strerror(id)}});
         return id;
     }
-    auto &stream = streams[id];
-    stream.outgoing = std::move(request.body);
-    stream.callback = std::move(callback);
+    streams.beginResponse(id, std::move(request.body), std::move(callback));
     flushUnlessNested();
     return id;
 }
 
 auto PeerConnection::Impl::submitResponse(StreamId id, HttpResponse response) -> void
 {
-    const auto found = streams.find(id);
-    if (closed || found == streams.end() || found->second.responded) {
+    if (closed || !streams.respond(id, std::move(response.body))) {
         return;
     }
     const auto status = std::to_string(response.status);
@@ -438,8 +336,6 @@
     for (const auto &[name, value] : response.headers.fields()) {
         fields.push_back(headerField(name, value));
     }
-    found->second.outgoing = std::move(response.body);
-    found->second.responded = true;
     nghttp2_data_provider provider{};
     provider.read_callback = &Impl::readBody;
     nghttp2_submit_response(session, id, fields.data(), fields.size(), &provider);
@@ -472,11 +368,9 @@
 
 auto PeerConnection::cancel(StreamId stream) -> void
 {
-    const auto found = m_impl->streams.find(stream);
-    if (m_impl->closed || found == m_impl->streams.end()) {
+    if (m_impl->closed || !m_impl->streams.cancel(stream)) {
         return;
     }
-    found->second.callback = nullptr;
     nghttp2_submit_rst_stream(m_impl->session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
     m_impl->flushUnlessNested();
 }
