--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -41,8 +41,8 @@
     }
     // Only this line tells later whether a body that a caller misses a part of had a stated end.
     const auto unstatedEnd = record.bodyEnd == BodyEnd::ConnectionEnd;
-    const auto ordinary =
-        !record.refusal && record.attempts <= 1 && record.detail.empty() && !unstatedEnd;
+    const auto ordinary = !record.refusal && record.attempts <= 1 && record.repeats == 0
+        && record.detail.empty() && !unstatedEnd;
     if (ordinary && m_ordinaryRequests++ % sampleInterval != 0) {
         return;
     }
@@ -59,6 +59,7 @@
               {"service", record.service.value()},
               {"server", record.server.value()},
               {"attempts", record.attempts},
+              {"repeats", record.repeats},
               {"waited_ms", toMs(record.waited)},
               {"elapsed_ms", toMs(record.elapsed)},
               {"config", record.configVersion}});
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -333,6 +333,7 @@
         const auto now = m_loop.now();
         active.stage = Stage::Idle;
         active.call = 0;
+        active.record.repeats += outcome.repeated ? 1U : 0U;
         if (outcome.verdict != Verdict::Ran) {
             m_slots.release(number, {.end = slotEndOf(outcome), .elapsed = now - active.sentAt},
                             now);
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -45,6 +45,7 @@
     Duration elapsed{}; ///< from receipt to completion
     Duration waited{}; ///< from receipt to the last send to a server
     std::uint32_t attempts = 0; ///< number of the last send to a server; 0 if never sent
+    std::uint32_t repeats = 0; ///< sends to a server that has had the request on an open connection
     std::string detail; ///< cause of a refusal or of the last failed attempt
 };
 
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -61,6 +61,9 @@
     bool connectionRefused = false; ///< connecting failed with ECONNREFUSED
     Duration elapsed{}; ///< from call() to the result
     bool newConnection = false; ///< the request was sent on a connection opened by this call
+    /// A request with the same value of the correlation header was sent to the address before, and
+    /// a connection that carried it was open when this call began.
+    bool repeated = false;
     /// The response can only be the one to this request: either it is the first one of its
     /// connection, or it has the value of the correlation header, which no earlier request on that
     /// connection had.
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -106,9 +106,9 @@
     setHeaders();
     setTimeouts(longestTime());
     // Declining a connection closes it, so one that is known to be unsuitable is not tried.
-    const auto repeated =
-        !correlationId().empty() && m_registry.hasCarried(address, correlationId());
-    curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, options.freshConnection || repeated ? 1L : 0L);
+    m_repeated = !correlationId().empty() && m_registry.hasCarried(address, correlationId());
+    const auto freshConnection = options.freshConnection || m_repeated;
+    curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, freshConnection ? 1L : 0L);
     const auto maxAge = std::chrono::ceil<seconds>(options.maxIdleAge).count();
     curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, std::max<long>(1, maxAge));
 }
@@ -306,6 +306,7 @@
     auto outcome = HttpOutcome{};
     outcome.elapsed = now - m_start;
     outcome.newConnection = m_newConnection;
+    outcome.repeated = m_repeated;
     if (code != CURLE_OK) {
         outcome.error = toError(code);
         outcome.verdict = bytesSent() > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -101,6 +101,7 @@
     ReceivedResponse m_response;
     int m_openedSocket = -1; ///< opened by this call and not registered yet
     int m_socket = -1; ///< carries the request
+    bool m_repeated = false; ///< an open connection to the server has carried the id
     bool m_newConnection = false;
     bool m_connectionDeclined = false; ///< the reused connection must not carry the request
     bool m_resendBlocked = false; ///< libcurl's automatic resend was prevented
