--- a/include/figlanding/response_head.h
+++ b/include/figlanding/response_head.h
@@ -20,8 +20,8 @@
 class ResponseHead
 {
 public:
-    /// Adds a line, with its line end if it has one. Lines behind the header are trailers, of which
-    /// nothing is kept.
+    /// Adds a line, with its line end if it has one. Lines behind the header are trailers: they
+    /// must be fields as well, but are not kept.
     /// @return why the line can't be part of a response; empty if it can
     [[nodiscard]] auto add(std::string_view line) -> std::optional<std::string>;
     /// Returns the status, or 0 before the first line.
--- a/src/core/response_head.cpp
+++ b/src/core/response_head.cpp
@@ -1,5 +1,7 @@
 #include "figlanding/response_head.h"
 
+#include "figlanding/http_grammar.h"
+
 #include <cctype>
 #include <charconv>
 
@@ -67,16 +69,11 @@
 
 auto ResponseHead::add(std::string_view line) -> std::optional<std::string>
 {
-    if (m_complete && isFinal()) {
-        return line.starts_with(protocolName) || containsStatusLine(line)
-            ? std::optional<std::string>("answer within the trailers")
-            : std::nullopt;
-    }
-    if (m_status == 0 || m_complete) {
+    if (m_status == 0 || (m_complete && !isFinal())) {
         return begin(line);
     }
     if (containsStatusLine(line)) {
-        return "answer within the header of another";
+        return m_complete ? "answer within the trailers" : "answer within the header of another";
     }
     if (trimmed(line).empty()) {
         m_complete = true;
@@ -111,10 +108,12 @@
         return "answer has a field without a colon";
     }
     const auto name = line.substr(0, colon);
-    if (name != trimmed(name)) {
-        return "answer has a space in a field name";
+    if (!isFieldName(name)) {
+        return "answer has a malformed field name";
+    }
+    if (!m_complete) {
+        m_headers.add(name, trimmed(line.substr(colon + 1)));
     }
-    m_headers.add(name, trimmed(line.substr(colon + 1)));
     return std::nullopt;
 }
 
--- a/tests/unit/response_head_test.cpp
+++ b/tests/unit/response_head_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cctype>
 #include <string>
 #include <string_view>
 
@@ -71,3 +72,23 @@
     }
     CHECK(accepts("HTTP/1.1 200\r\nA:\r\n"));
 }
+
+TEST_CASE("a field whose name holds a character that no token has is refused")
+{
+    const auto marks = std::string_view("!#$%&'*+-.^_`|~");
+    for (auto code = 0; code < 256; ++code) {
+        const auto character = static_cast<char>(code);
+        const auto allowed = code < 128
+            && (std::isalnum(code) != 0 || marks.find(character) != std::string_view::npos);
+        if (character == ':' || character == '\n') {
+            continue; // ends the name or the line
+        }
+        CAPTURE(code);
+        for (auto at = std::size_t{0}; at <= 2; ++at) {
+            const auto name = std::string("Ab").insert(at, 1, character);
+            CHECK(accepts("HTTP/1.1 200 OK\r\n" + name + ": c\r\n\r\n") == allowed);
+            CHECK(accepts("HTTP/1.1 200 OK\r\n\r\n" + name + ": c\r\n") == allowed);
+        }
+    }
+    CHECK_FALSE(accepts("HTTP/1.1 200 OK\r\n: c\r\n\r\n"));
+}
