--- a/src/core/response_head.cpp
+++ b/src/core/response_head.cpp
@@ -21,6 +21,16 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+auto withoutLineEnd(std::string_view line) -> std::string_view
+{
+    for (const auto character : {'\n', '\r'}) {
+        if (line.ends_with(character)) {
+            line.remove_suffix(1);
+        }
+    }
+    return line;
+}
+
 auto isDigit(char character) -> bool
 {
     return character >= '0' && character <= '9';
@@ -75,7 +85,7 @@
     if (containsStatusLine(line)) {
         return m_complete ? "answer within the trailers" : "answer within the header of another";
     }
-    if (trimmed(line).empty()) {
+    if (withoutLineEnd(line).empty()) {
         m_complete = true;
         return std::nullopt;
     }
--- a/tests/contract/malformed_header_test.cpp
+++ b/tests/contract/malformed_header_test.cpp
@@ -50,3 +50,11 @@
     }
     checkNotPassedOn("HTTP/1.1 200 OK\r\n" + identity + "Content\tLength: 9\r\n\r\npart");
 }
+
+TEST_CASE("a line of blanks within a header does not hide the fields behind it")
+{
+    for (const auto *blanks : {" ", "\t", "\r"}) {
+        checkNotPassedOn("HTTP/1.1 200 OK\r\n" + identity + blanks
+                         + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedBody);
+    }
+}
--- a/tests/unit/response_head_test.cpp
+++ b/tests/unit/response_head_test.cpp
@@ -92,3 +92,14 @@
     }
     CHECK_FALSE(accepts("HTTP/1.1 200 OK\r\n: c\r\n\r\n"));
 }
+
+TEST_CASE("only an empty line ends a header")
+{
+    for (const auto *line : {" \r\n", "\t\r\n", "\r\r\n", " \n"}) {
+        CAPTURE(line);
+        CHECK_FALSE(accepts(std::string("HTTP/1.1 200 OK\r\n") + line + "A: b\r\n\r\n"));
+    }
+    auto head = ResponseHead();
+    CHECK(accepts(head, "HTTP/1.1 200 OK\nA: b\n\n"));
+    CHECK(head.isComplete());
+}
