--- a/include/figlanding/response_head.h
+++ b/include/figlanding/response_head.h
@@ -44,7 +44,7 @@
 
 private:
     auto begin(std::string_view statusLine) -> std::optional<std::string>;
-    auto addField(std::string_view line) -> std::optional<std::string>;
+    auto addField(std::string_view field) -> std::optional<std::string>;
 
     int m_status = 0;
     HttpHeaders m_headers;
--- a/src/core/http_grammar.cpp
+++ b/src/core/http_grammar.cpp
@@ -19,6 +19,14 @@
     return isAlphanumeric(character) || marks.find(character) != std::string_view::npos;
 }
 
+auto isControl(char character) -> bool
+{
+    constexpr auto firstPrintable = 0x20;
+    constexpr auto deleteCharacter = 0x7f;
+    const auto code = static_cast<unsigned char>(character);
+    return code < firstPrintable || code == deleteCharacter;
+}
+
 } // namespace
 
 auto isFieldName(std::string_view text) -> bool
@@ -26,4 +34,10 @@
     return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
 }
 
+auto isHeaderText(std::string_view text) -> bool
+{
+    return std::none_of(text.begin(), text.end(),
+                        [](char character) { return character != '\t' && isControl(character); });
+}
+
 } // namespace figlanding
--- a/src/core/response_head.cpp
+++ b/src/core/response_head.cpp
@@ -14,11 +14,12 @@
 
 auto trimmed(std::string_view text) -> std::string_view
 {
-    const auto first = text.find_first_not_of(" \t\r\n");
+    constexpr std::string_view blanks = " \t";
+    const auto first = text.find_first_not_of(blanks);
     if (first == std::string_view::npos) {
         return {};
     }
-    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
 auto withoutLineEnd(std::string_view line) -> std::string_view
@@ -79,17 +80,18 @@
 
 auto ResponseHead::add(std::string_view line) -> std::optional<std::string>
 {
+    const auto text = withoutLineEnd(line);
     if (m_status == 0 || (m_complete && !isFinal())) {
-        return begin(line);
+        return begin(text);
     }
-    if (containsStatusLine(line)) {
+    if (containsStatusLine(text)) {
         return m_complete ? "answer within the trailers" : "answer within the header of another";
     }
-    if (withoutLineEnd(line).empty()) {
+    if (text.empty()) {
         m_complete = true;
         return std::nullopt;
     }
-    return addField(line);
+    return addField(text);
 }
 
 auto ResponseHead::isFinal() const -> bool
@@ -105,24 +107,30 @@
     if (containsStatusLine(statusLine.substr(1))) {
         return "answer within the header of another";
     }
+    if (!isHeaderText(statusLine)) {
+        return "answer has a control character in its status line";
+    }
     m_status = parseStatusCode(statusLine);
     m_headers = HttpHeaders{};
     m_complete = false;
     return std::nullopt;
 }
 
-auto ResponseHead::addField(std::string_view line) -> std::optional<std::string>
+auto ResponseHead::addField(std::string_view field) -> std::optional<std::string>
 {
-    const auto colon = line.find(':');
+    const auto colon = field.find(':');
     if (colon == std::string_view::npos) {
         return "answer has a field without a colon";
     }
-    const auto name = line.substr(0, colon);
+    const auto name = field.substr(0, colon);
     if (!isFieldName(name)) {
         return "answer has a malformed field name";
     }
+    if (!isHeaderText(field)) {
+        return "answer has a control character in a field value";
+    }
     if (!m_complete) {
-        m_headers.add(name, trimmed(line.substr(colon + 1)));
+        m_headers.add(name, trimmed(field.substr(colon + 1)));
     }
     return std::nullopt;
 }
--- a/tests/contract/malformed_header_test.cpp
+++ b/tests/contract/malformed_header_test.cpp
@@ -58,3 +58,15 @@
                          + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedBody);
     }
 }
+
+TEST_CASE(
+    "a response with a control character in a field value or its status line is not passed on")
+{
+    for (const auto &value :
+         std::vector<std::string>{"a\rX-Other: b", std::string("a\0b", 3), "a\x01", "a\x7f"}) {
+        checkNotPassedOn("HTTP/1.1 200 OK\r\n" + identity + "X-Note: " + value
+                         + "\r\nContent-Length: 4\r\n\r\npart");
+        checkNotPassedOn("HTTP/1.1 200 " + value + "\r\n" + identity
+                         + "Content-Length: 4\r\n\r\npart");
+    }
+}
--- a/tests/unit/response_head_test.cpp
+++ b/tests/unit/response_head_test.cpp
@@ -103,3 +103,21 @@
     CHECK(accepts(head, "HTTP/1.1 200 OK\nA: b\n\n"));
     CHECK(head.isComplete());
 }
+
+TEST_CASE("a control character in a field value or a status line is refused")
+{
+    for (auto code = 0; code < 256; ++code) {
+        const auto character = static_cast<char>(code);
+        const auto allowed = (code >= 32 && code != 127) || character == '\t';
+        if (character == '\n') {
+            continue; // ends the line
+        }
+        CAPTURE(code);
+        for (auto at = std::size_t{0}; at <= 2; ++at) {
+            const auto text = std::string("ab").insert(at, 1, character);
+            CHECK(accepts("HTTP/1.1 200 OK\r\nA: " + text + "\r\n\r\n") == allowed);
+            CHECK(accepts("HTTP/1.1 200 " + text + "\r\n\r\n") == allowed);
+            CHECK(accepts("HTTP/1.1 200 OK\r\n\r\nA: " + text + "\r\n") == allowed);
+        }
+    }
+}
