--- a/src/core/http_grammar.cpp
+++ b/src/core/http_grammar.cpp
@@ -1,6 +1,9 @@
 #include "figlanding/http_grammar.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstddef>
+#include <system_error>
 
 namespace figlanding {
 
@@ -40,4 +43,16 @@
                         [](char character) { return character != '\t' && isControl(character); });
 }
 
+auto parseStatus(std::string_view text) -> std::optional<int>
+{
+    constexpr auto digits = std::size_t{3};
+    constexpr auto first = 100;
+    constexpr auto last = 599;
+    auto status = 0;
+    const auto *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, status);
+    const auto isNumber = text.size() == digits && error == std::errc{} && stop == end;
+    return isNumber && status >= first && status <= last ? std::optional(status) : std::nullopt;
+}
+
 } // namespace figlanding
--- a/src/core/response_head.cpp
+++ b/src/core/response_head.cpp
@@ -3,13 +3,14 @@
 #include "figlanding/http_grammar.h"
 
 #include <cctype>
-#include <charconv>
+#include <cstddef>
 
 namespace figlanding {
 
 namespace {
 
 constexpr std::string_view protocolName = "HTTP/";
+constexpr std::size_t statusDigits = 3;
 constexpr int statusFirstFinal = 200;
 
 auto trimmed(std::string_view text) -> std::string_view
@@ -37,17 +38,6 @@
     return character >= '0' && character <= '9';
 }
 
-auto parseStatusCode(std::string_view statusLine) -> int
-{
-    const auto space = statusLine.find(' ');
-    auto status = 0;
-    if (space != std::string_view::npos) {
-        const auto digits = statusLine.substr(space + 1, 3);
-        std::from_chars(digits.data(), digits.data() + digits.size(), status);
-    }
-    return status;
-}
-
 // Returns whether a text begins as a status line: "HTTP/1.1 200" and then a space or the line end.
 auto beginsWithStatusLine(std::string_view text) -> bool
 {
@@ -110,7 +100,11 @@
     if (!isHeaderText(statusLine)) {
         return "answer has a control character in its status line";
     }
-    m_status = parseStatusCode(statusLine);
+    const auto status = parseStatus(statusLine.substr(statusLine.find(' ') + 1, statusDigits));
+    if (!status) {
+        return "answer has an invalid status";
+    }
+    m_status = *status;
     m_headers = HttpHeaders{};
     m_complete = false;
     return std::nullopt;
--- a/tests/contract/malformed_header_test.cpp
+++ b/tests/contract/malformed_header_test.cpp
@@ -70,3 +70,20 @@
                          + "Content-Length: 4\r\n\r\npart");
     }
 }
+
+TEST_CASE("a response with a status outside 100 to 599 is not passed on")
+{
+    for (const auto *status : {"000", "001", "099", "600", "999"}) {
+        for (const auto *framing : {"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\npart"}) {
+            checkNotPassedOn("HTTP/1.1 " + std::string(status) + " OK\r\n" + identity + framing);
+        }
+        checkNotPassedOn("HTTP/1.1 " + std::string(status) + " OK\r\n\r\n");
+    }
+}
+
+TEST_CASE("a response behind a status line with the status 000 is not passed on")
+{
+    const auto whole = "HTTP/1.1 200 OK\r\n" + identity + "Content-Length: 4\r\n\r\npart";
+    checkNotPassedOn("HTTP/1.1 000 OK\r\n" + whole);
+    checkNotPassedOn("HTTP/1.1 000 OK\r\n\r\n" + whole);
+}
--- a/tests/unit/response_head_test.cpp
+++ b/tests/unit/response_head_test.cpp
@@ -121,3 +121,14 @@
         }
     }
 }
+
+TEST_CASE("a status outside 100 to 599 is refused")
+{
+    for (auto status = 0; status <= 999; ++status) {
+        auto digits = std::to_string(status);
+        digits.insert(0, 3 - digits.size(), '0');
+        CAPTURE(digits);
+        CHECK(accepts("HTTP/1.1 " + digits + " A\r\n\r\n") == (status >= 100 && status <= 599));
+    }
+    CHECK_FALSE(accepts("HTTP/1.1 000 No\r\nHTTP/1.1 200 OK\r\n\r\n"));
+}
