--- a/src/io/peer_streams.cpp
+++ b/src/io/peer_streams.cpp
@@ -1,20 +1,26 @@
 #include "io/peer_streams.h"
 
+#include "figlanding/http_grammar.h"
+
 #include <nghttp2/nghttp2.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace figlanding {
 
 namespace {
 
-auto parseStatus(std::string_view text) -> int
+constexpr int invalidStatus = 0;
+
+auto outcomeOf(HttpResponse response) -> PeerOutcome
 {
-    auto status = 0;
-    std::from_chars(text.data(), text.data() + text.size(), status);
-    return status;
+    if (response.status == invalidStatus) {
+        return {.verdict = Verdict::MayHaveRun,
+                .response = {},
+                .error = {ErrorCode::ProtocolViolation, "answer has an invalid status"}};
+    }
+    return {.verdict = Verdict::Ran, .response = std::move(response), .error = {}};
 }
 
 } // namespace
@@ -67,7 +73,7 @@
     auto &stream = found->second;
     if (m_role == Role::Client) {
         if (name == ":status") {
-            stream.response.status = parseStatus(value);
+            stream.response.status = parseStatus(value).value_or(invalidStatus);
         } else if (!name.starts_with(':')) {
             stream.response.headers.add(name, value);
         }
@@ -144,8 +150,7 @@
         return;
     }
     if (stream.responded && errorCode == NGHTTP2_NO_ERROR) {
-        stream.callback(
-            {.verdict = Verdict::Ran, .response = std::move(stream.response), .error = {}});
+        stream.callback(outcomeOf(std::move(stream.response)));
         return;
     }
     const auto refused = errorCode == NGHTTP2_REFUSED_STREAM || !stream.bodySent;
