Compare header texts without case by one function

Two functions did the same in http_message.cpp and received_response.cpp, one of them with the locale's letters.

No caller sees a difference: the name of a transfer coding is ASCII.

--- a/include/figlanding/http_message.h
+++ b/include/figlanding/http_message.h
@@ -70,6 +70,8 @@
     auto operator==(const HttpResponse &) const -> bool = default;
 };
 
+/// Returns whether two texts are equal, ignoring the case of the ASCII letters of @p text.
+[[nodiscard]] auto equalsIgnoringCase(std::string_view lowerCase, std::string_view text) -> bool;
 /// Returns the path of a request target, without the query.
 [[nodiscard]] auto pathOf(std::string_view target) -> std::string_view;
 /// Returns the value of the first query parameter called @p name, not decoded; empty if it has no
--- a/src/core/http_message.cpp
+++ b/src/core/http_message.cpp
@@ -37,15 +37,15 @@
     return lower;
 }
 
-auto equalsIgnoringCase(std::string_view lower, std::string_view text) -> bool
+} // namespace
+
+auto equalsIgnoringCase(std::string_view lowerCase, std::string_view text) -> bool
 {
-    return lower.size() == text.size()
-        && std::equal(lower.begin(), lower.end(), text.begin(),
+    return lowerCase.size() == text.size()
+        && std::equal(lowerCase.begin(), lowerCase.end(), text.begin(),
                       [](char left, char right) { return left == toLower(right); });
 }
 
-} // namespace
-
 HttpHeaders::HttpHeaders(std::initializer_list<std::pair<std::string, std::string>> fields)
 {
     for (const auto &[name, value] : fields) {
--- a/src/io/received_response.cpp
+++ b/src/io/received_response.cpp
@@ -1,7 +1,5 @@
 #include "io/received_response.h"
 
-#include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <utility>
 #include <vector>
@@ -15,14 +13,6 @@
 /// Framing bytes accepted for each byte of a chunked body; chunks of one byte need five.
 constexpr std::uint64_t maxFramingRatio = 8;
 
-auto equalsIgnoringCase(std::string_view text, std::string_view lowerCase) -> bool
-{
-    return std::equal(text.begin(), text.end(), lowerCase.begin(), lowerCase.end(),
-                      [](char left, char right) {
-                          return std::tolower(static_cast<unsigned char>(left)) == right;
-                      });
-}
-
 auto parseLength(std::string_view text) -> std::optional<std::uint64_t>
 {
     auto value = std::uint64_t{0};
@@ -114,7 +104,7 @@
         return std::nullopt;
     }
     const auto transferEncoding = headers.find("transfer-encoding");
-    if (transferEncoding && !equalsIgnoringCase(*transferEncoding, "chunked")) {
+    if (transferEncoding && !equalsIgnoringCase("chunked", *transferEncoding)) {
         // libcurl reads other codings to the end of the connection.
         return Error{.code = ErrorCode::ProtocolViolation,
                      .detail = "answer has an unknown transfer coding"};
