--- a/include/figlanding/http_grammar.h
+++ b/include/figlanding/http_grammar.h
@@ -4,8 +4,8 @@
 #include <string_view>
 
 /// @file
-/// The grammar of an HTTP header. Recipients disagree about what lies outside of it,
-/// so nothing that does may be passed on.
+/// The grammar of an HTTP header. Recipients disagree about what lies outside of it, so nothing
+/// that does may be passed on.
 
 namespace figlanding {
 
--- a/include/figlanding/response_head.h
+++ b/include/figlanding/response_head.h
@@ -13,6 +13,9 @@
 /// follows them without a mark. If they end within a header, that header goes on with the fields of
 /// the response, its request id included. Its status line then stands in the middle of the header,
 /// so a header with a status line behind its first byte is refused.
+///
+/// Each line must also keep the grammar of HTTP. libcurl, which finds the end of the body, and the
+/// caller may read any other line in another way.
 
 namespace figlanding {
 
