--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -8,6 +8,7 @@
 #include "figlanding/gateway/team_limits.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -54,6 +55,8 @@
     /// Limits that servers stated to the sender, see SlotClient::statedLimits().
     std::vector<ServerLimit> serverLimits;
     milliseconds uptime{}; ///< since the sender's process started; zero if it does not tell
+    /// Room in the server groups whose slots the sender allocates, of services with several groups.
+    std::map<ServiceId, GroupRoom> groupRooms;
 
     auto operator==(const Heartbeat &) const -> bool = default;
 };
@@ -80,6 +83,7 @@
     milliseconds waited{}; ///< time since the request arrived
     milliseconds objectiveIn{}; ///< time until the latency objective; negative if it has passed
     milliseconds deadlineIn{}; ///< time until the deadline
+    RouteId route; ///< empty from VMs of earlier releases
 
     auto operator==(const SlotAcquire &) const -> bool = default;
 };
@@ -100,6 +104,7 @@
     SlotState state = SlotState::Queued;
     ServerIncarnation server; ///< valid if granted
     milliseconds retryAfter{}; ///< valid if refused
+    std::optional<GroupRoom> room = std::nullopt; ///< in the group of the ticket
 
     auto operator==(const SlotResponse &) const -> bool = default;
 };
--- a/include/figlanding/gateway/slot_types.h
+++ b/include/figlanding/gateway/slot_types.h
@@ -51,10 +51,21 @@
     TimePoint arrivedAt;
     TimePoint objectiveAt; ///< latency objective; requests past it are served after the others
     TimePoint deadline; ///< the caller discards a response after this time
+    RouteId route; ///< routes of one service may differ in work
 
     auto operator==(const SlotRequest &) const -> bool = default;
 };
 
+/// How much more a group of servers can take, at the moment at which its broker tells.
+struct GroupRoom
+{
+    std::uint32_t freeSlots = 0; ///< of servers that accept requests now
+    std::uint32_t waiting = 0; ///< queued requests that any server of the group may run
+    double requestsPerSecond = 0.0; ///< rate at which its servers complete requests
+
+    auto operator==(const GroupRoom &) const -> bool = default;
+};
+
 /// Assigns a slot of a server to a request.
 struct SlotGrant
 {
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -2,11 +2,12 @@
 
 #include "core/cbor.h"
 #include "core/compression.h"
+#include "core/gateway/fleet_codec.h"
+#include "core/gateway/slot_message_codec.h"
 
 #include <nlohmann/json.hpp>
 
 #include <exception>
-#include <limits>
 #include <utility>
 
 namespace figlanding {
@@ -14,6 +15,7 @@
 namespace {
 
 using nlohmann::json;
+using namespace fleet_codec;
 
 // Slot messages and heartbeats are smaller; larger messages hold records of servers and owners,
 // which compress to half their size or less.
@@ -21,24 +23,6 @@
 constexpr std::size_t maxMessageBytes = std::size_t{1024} * 1024;
 constexpr char compressedMark = 1; ///< first byte; no CBOR array begins with it
 
-enum class Kind : int {
-    Heartbeat = 1,
-    Acquire = 2,
-    Response = 3,
-    Release = 4,
-    Topic = 5,
-    Work = 6,
-    ShortenedTopic = 7,
-    Leases = 8
-};
-
-// Rounds to single precision, because CBOR encodes a number in four bytes instead of eight if that
-// is lossless.
-auto toFloatPrecision(double value) -> double
-{
-    return static_cast<double>(static_cast<float>(value));
-}
-
 auto toJson(const Heartbeat &message) -> json
 {
     auto usageByTeam = json::array();
@@ -56,6 +40,10 @@
                           toFloatPrecision(limit.limit.requestsPerSecond),
                           toFloatPrecision(limit.limit.used)});
     }
+    auto rooms = json::array();
+    for (const auto &[group, room] : message.groupRooms) {
+        rooms.push_back({group.value(), fleet_codec::toJson(room)});
+    }
     return {static_cast<int>(Kind::Heartbeat),
             message.leaving,
             message.topicEnds,
@@ -63,7 +51,8 @@
             message.capacity,
             std::move(groupCounts),
             std::move(limits),
-            message.uptime.count()};
+            message.uptime.count(),
+            std::move(rooms)};
 }
 
 auto toJson(const WorkReport &message) -> json
@@ -89,55 +78,6 @@
     return {static_cast<int>(Kind::Leases), message.term, std::move(grants)};
 }
 
-auto toJson(const SlotAcquire &message) -> json
-{
-    auto excluded = json::array();
-    for (const auto &server : message.excluded) {
-        excluded.push_back(server.value());
-    }
-    return {static_cast<int>(Kind::Acquire),
-            message.ticket,
-            message.service.value(),
-            message.owner.value(),
-            std::move(excluded),
-            message.priority,
-            message.zone.value(),
-            message.waited.count(),
-            message.objectiveIn.count(),
-            message.deadlineIn.count()};
-}
-
-auto toJson(const SlotResponse &message) -> json
-{
-    return {static_cast<int>(Kind::Response),
-            message.ticket,
-            static_cast<int>(message.state),
-            message.server.server.value(),
-            message.server.startedUnixMs,
-            message.retryAfter.count(),
-            message.process};
-}
-
-// Earlier releases expect a load in front of what follows it. A server has at least one slot, so a
-// load without slots stands for none.
-auto toJson(const SlotRelease &message) -> json
-{
-    auto result = json{static_cast<int>(Kind::Release), message.ticket,
-                       static_cast<int>(message.end), message.elapsed.count()};
-    if (message.load || message.terms) {
-        const auto load = message.load.value_or(LoadReport{.slots = 0});
-        result.push_back({load.running, load.waiting, load.slots, load.slowness});
-    }
-    if (message.terms) {
-        auto terms = json::array();
-        if (const auto limit = message.terms->requestsPerSecond) {
-            terms.push_back(toFloatPrecision(*limit));
-        }
-        result.push_back(std::move(terms));
-    }
-    return result;
-}
-
 auto toJson(const TopicUpdate &message) -> json
 {
     auto records = json::array();
@@ -157,36 +97,10 @@
             message.age.count()};
 }
 
-// Both bounds are inclusive.
-struct DurationBounds
-{
-    milliseconds min{};
-    milliseconds max{};
-};
-
-constexpr auto requestTimeBounds = DurationBounds{.max = maxRequestTime};
-constexpr auto requestTimeLeftBounds =
-    DurationBounds{.min = -maxRequestTime, .max = maxRequestTime};
 constexpr auto uptimeBounds = DurationBounds{.max = maxUptime};
 constexpr auto updateAgeBounds = DurationBounds{.max = maxUpdateAge};
 constexpr auto grantAgeBounds = DurationBounds{.min = -maxGrantDelay, .max = maxGrantAge};
 
-// The name is that of the message's field, for the log.
-auto decodeDuration(const json &field, std::string_view name, const DurationBounds &bounds)
-    -> Result<milliseconds>
-{
-    // A conversion of a larger number is undefined or changes its sign.
-    const auto fits = field.is_number_unsigned()
-        ? field.get<std::uint64_t>() <= std::numeric_limits<std::int64_t>::max()
-        : field.is_number_integer();
-    const auto value = milliseconds(fits ? field.get<std::int64_t>() : 0);
-    if (!fits || value < bounds.min || value > bounds.max) {
-        return fail(ErrorCode::InvalidValue,
-                    std::string(name).append(" out of range: ").append(field.dump()));
-    }
-    return value;
-}
-
 auto decodeHeartbeat(const json &fields) -> Result<Heartbeat>
 {
     auto message = Heartbeat{.leaving = fields.at(1).get<bool>(),
@@ -215,6 +129,11 @@
         BOOST_LEAF_ASSIGN(message.uptime,
                           decodeDuration(fields.at(uptimeField), "uptime", uptimeBounds));
     }
+    constexpr auto roomsField = std::size_t{8}; // VMs of earlier releases omit it
+    for (const auto &row : fields.size() > roomsField ? fields.at(roomsField) : json::array()) {
+        BOOST_LEAF_AUTO(room, decodeGroupRoom(row.at(1)));
+        message.groupRooms.emplace(ServiceId(row.at(0).get<std::string>()), room);
+    }
     return message;
 }
 
@@ -249,63 +168,6 @@
     return message;
 }
 
-auto decodeAcquire(const json &fields) -> Result<SlotAcquire>
-{
-    BOOST_LEAF_AUTO(waited, decodeDuration(fields.at(7), "waited", requestTimeBounds));
-    BOOST_LEAF_AUTO(objectiveIn,
-                    decodeDuration(fields.at(8), "time to objective", requestTimeLeftBounds));
-    BOOST_LEAF_AUTO(deadlineIn,
-                    decodeDuration(fields.at(9), "time to deadline", requestTimeLeftBounds));
-    auto message = SlotAcquire{.ticket = fields.at(1).get<std::uint64_t>(),
-                               .service = ServiceId(fields.at(2).get<std::string>()),
-                               .owner = BackendServerId(fields.at(3).get<std::string>()),
-                               .priority = fields.at(5).get<std::uint32_t>(),
-                               .zone = AvailabilityZoneId(fields.at(6).get<std::string>()),
-                               .waited = waited,
-                               .objectiveIn = objectiveIn,
-                               .deadlineIn = deadlineIn};
-    for (const auto &server : fields.at(4)) {
-        message.excluded.emplace_back(server.get<std::string>());
-    }
-    return message;
-}
-
-auto decodeResponse(const json &fields) -> Result<SlotResponse>
-{
-    BOOST_LEAF_AUTO(retryAfter, decodeDuration(fields.at(5), "retry after", requestTimeBounds));
-    return SlotResponse{.ticket = fields.at(1).get<std::uint64_t>(),
-                        // VMs of earlier releases omit it.
-                        .process =
-                            fields.size() > 6 ? fields.at(6).get<std::string>() : std::string{},
-                        .state = static_cast<SlotState>(fields.at(2).get<int>()),
-                        .server = {.server = BackendServerId(fields.at(3).get<std::string>()),
-                                   .startedUnixMs = fields.at(4).get<std::int64_t>()},
-                        .retryAfter = retryAfter};
-}
-
-auto decodeRelease(const json &fields) -> Result<SlotRelease>
-{
-    BOOST_LEAF_AUTO(elapsed, decodeDuration(fields.at(3), "elapsed", requestTimeBounds));
-    auto message = SlotRelease{.ticket = fields.at(1).get<std::uint64_t>(),
-                               .end = static_cast<SlotEnd>(fields.at(2).get<int>()),
-                               .elapsed = elapsed};
-    if (fields.size() > 4 && fields.at(4).at(2).get<std::uint32_t>() > 0) {
-        const auto &load = fields.at(4);
-        message.load = LoadReport{.running = load.at(0).get<std::uint32_t>(),
-                                  .waiting = load.at(1).get<std::uint32_t>(),
-                                  .slots = load.at(2).get<std::uint32_t>(),
-                                  .slowness = load.at(3).get<double>()};
-    }
-    if (fields.size() > 5) {
-        const auto &terms = fields.at(5);
-        message.terms = ServerTerms{};
-        if (!terms.empty()) {
-            message.terms->requestsPerSecond = terms.at(0).get<double>();
-        }
-    }
-    return message;
-}
-
 auto decodeTopicUpdate(const json &fields) -> Result<TopicUpdate>
 {
     BOOST_LEAF_AUTO(age, decodeDuration(fields.at(6), "age", updateAgeBounds));
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -222,7 +222,8 @@
                          .priority = active.priority,
                          .arrivedAt = active.receivedAt,
                          .objectiveAt = active.objectiveAt,
-                         .deadline = active.deadline},
+                         .deadline = active.deadline,
+                         .route = active.route->id},
                         now);
     }
 
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -77,7 +77,8 @@
                                 .zone = request.zone,
                                 .waited = toMs(now - request.arrivedAt),
                                 .objectiveIn = toMs(request.objectiveAt - now),
-                                .deadlineIn = toMs(request.deadline - now)});
+                                .deadlineIn = toMs(request.deadline - now),
+                                .route = request.route});
 }
 
 // Returns the VM that allocates the slots of a group, excluding VMs that did not respond recently.
@@ -237,7 +238,8 @@
                       .zone = acquire.zone,
                       .arrivedAt = now - acquire.waited,
                       .objectiveAt = now + acquire.objectiveIn,
-                      .deadline = now + acquire.deadlineIn},
+                      .deadline = now + acquire.deadlineIn,
+                      .route = acquire.route},
                      now);
     deliver(m_broker);
     if (m_broker.isWaiting(id)) {
--- a/tests/unit/fleet_messages_test.cpp
+++ b/tests/unit/fleet_messages_test.cpp
@@ -92,3 +92,18 @@
     checkBounds([](milliseconds age) { return TopicUpdate{.topic = "t", .age = age}; },
                 milliseconds(0), maxUpdateAge);
 }
+
+TEST_CASE("the route of a slot request and the room of a group survive the datagram")
+{
+    CHECK(isAccepted(SlotAcquire{.ticket = 1, .route = RouteId("pages")}));
+    const auto room = GroupRoom{.freeSlots = 3, .waiting = 1, .requestsPerSecond = 12.5};
+    CHECK(isAccepted(SlotResponse{.ticket = 1, .room = room}));
+    CHECK(isAccepted(Heartbeat{.groupRooms = {{ServiceId("pages#1"), room}}}));
+}
+
+TEST_CASE("a group's room with an impossible rate is refused, so that no group seems endless")
+{
+    for (const auto rate : {-1.0, std::numeric_limits<double>::infinity()}) {
+        CHECK_FALSE(isAccepted(SlotResponse{.room = GroupRoom{.requestsPerSecond = rate}}));
+    }
+}
