Name the value in settle(), so that GCC 12 on arm64 builds the message tests

The build of tests/unit/fleet_messages_test.cpp failed on arm64 (GCC 12, -O3) with -Werror=maybe-uninitialized in the moved Settled<FleetMessage>, since the messages of the parts for hard load. The value is set on each path; with a named local the compiler sees it. No change of behaviour.

--- a/include/figlanding/error.h
+++ b/include/figlanding/error.h
@@ -123,7 +123,8 @@
     return valueOrElse(
         [&]() -> Result<Settled<Value>> {
             BOOST_LEAF_AUTO(value, attempt());
-            return Settled<Value>(std::move(value));
+            auto settled = Settled<Value>(std::move(value));
+            return settled;
         },
         [](const Error &error) { return Settled<Value>(error); });
 }
