--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "figlanding/gateway/slot_statistics.h"
 #include "figlanding/gateway/slot_types.h"
 #include "figlanding/random.h"
 
@@ -41,6 +42,8 @@
     auto tick(TimePoint now) -> void;
     /// Returns the decisions since the last call and clears them.
     [[nodiscard]] auto takeDecisions() -> std::vector<SlotDecision>;
+    /// Returns the sums of the decisions since the last call and clears them.
+    [[nodiscard]] auto takeStatistics() -> SlotStatistics;
 
     /// Returns a ticket, or nothing if it neither waits nor holds a slot.
     [[nodiscard]] auto find(const TicketId &id) const -> std::optional<KnownTicket>;
@@ -92,9 +95,8 @@
         double observedMs = 0.0; ///< average service time, slow phases included; 0: no samples
         double slowness = 1.0;
         TimePoint loadReportedAt;
-        TimePoint pausedUntil; ///< set when it declines a request
-        std::uint32_t declines = 0; ///< since it last ran a request, those sent together once
-        TimePoint declinedAt; ///< last time that counted
+        TimePoint pausedUntil; ///< set when a request was misdirected
+        DeclineRest declines;
         TimePoint mayBeColdUntil; ///< it may have restarted without an announcement so far
         /// Losses by the zone of the VMs that saw them.
         std::map<AvailabilityZoneId, ZoneFailures> failuresByZone;
@@ -107,6 +109,12 @@
         std::map<BackendServerId, Server> servers;
         std::vector<SlotRequest> waiting;
     };
+    struct QueuedTicket
+    {
+        ServiceId service;
+        TimePoint queuedAt;
+        Duration expectedWait{}; ///< when it was queued
+    };
     struct ActiveGrant
     {
         ServiceId service;
@@ -156,7 +164,13 @@
     auto recordLoss(Server &server, const AvailabilityZoneId &zone, bool reached, TimePoint now)
         -> void;
     auto recordResponse(Server &server, const AvailabilityZoneId &zone, TimePoint now) -> void;
-    auto recordDecline(Server &server, TimePoint grantedAt, TimePoint now) const -> void;
+    auto recordDecline(Server &server, const ActiveGrant &granted, const SlotResult &result,
+                       TimePoint now) -> void;
+    static auto recordRun(Server &server, const SlotResult &result, TimePoint now) -> void;
+    [[nodiscard]] static auto acceptsRequests(const Server &server) -> bool
+    {
+        return server.info.acceptsRequests && !server.declines.isLeaving();
+    }
     [[nodiscard]] static auto isCold(const Server &server, const SlotRequest &request,
                                      TimePoint now) -> bool;
     [[nodiscard]] auto requestsPerMs(const Server &server, const SlotRequest &request,
@@ -172,9 +186,10 @@
     SlotBrokerOptions m_options;
     RandomEngine m_random;
     std::map<ServiceId, ServiceGroup> m_groups;
-    std::map<TicketId, ServiceId> m_waiting; ///< service of each queued ticket
+    std::map<TicketId, QueuedTicket> m_waiting;
     std::map<TicketId, ActiveGrant> m_activeGrants;
     std::vector<SlotDecision> m_decisions;
+    SlotStatistics m_statistics;
     std::set<ServiceId> m_withoutCold; ///< services whose cold servers get nothing
     double m_limitShare = 1.0;
 };
--- a/include/figlanding/gateway/slot_types.h
+++ b/include/figlanding/gateway/slot_types.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/gateway/decline_rest.h"
 #include "figlanding/gateway/key_ownership.h"
 #include "figlanding/gateway/server_terms.h"
 #include "figlanding/names.h"
@@ -156,9 +157,7 @@
     milliseconds maxBackoff{3000}; ///< upper bound of the pause
     /// A timeout counts as a loss if it lasted longer than this multiple of the server's average.
     double timeoutLossFactor = 4.0;
-    /// Pause after a server declined a request; doubled with each further one until it runs one.
-    milliseconds declineBackoff{60};
-    milliseconds maxDeclineBackoff{960}; ///< upper bound of that pause
+    DeclineRestOptions declineRest; ///< rest of a server after it declined a request
     milliseconds misdirectedBackoff{60}; ///< pause after a misdirected request
     /// Fraction of a cold server's rate that is granted. The rest is headroom for requests that are
     /// delayed in transit and arrive together.
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -69,14 +69,14 @@
         return;
     }
     group.waiting.push_back(request);
-    m_waiting.emplace(request.id, request.service);
+    m_waiting[request.id] = {.service = request.service, .queuedAt = now, .expectedWait = *wait};
     dispatch(group, now);
 }
 
 auto SlotBroker::release(const TicketId &id, const SlotResult &result, TimePoint now) -> void
 {
     if (const auto waiting = m_waiting.extract(id); !waiting.empty()) {
-        std::erase_if(m_groups[waiting.mapped()].waiting,
+        std::erase_if(m_groups[waiting.mapped().service].waiting,
                       [&](const SlotRequest &request) { return request.id == id; });
     }
     const auto granted = m_activeGrants.extract(id);
@@ -128,7 +128,9 @@
         const auto zoneCost = server.info.zone == request.zone ? 1.0 : m_options.crossZonePenalty;
         // A server that runs other requests is often slower than an idle one.
         const auto busy = 1.0 + 0.1 * server.running / std::max(1U, server.info.slots);
-        const auto ms = expectedMs(server, now) * zoneCost * busy;
+        // Each rejection costs an attempt at another server.
+        const auto attempts = 1.0 / (1.0 - server.declines.rejectedShare(now));
+        const auto ms = expectedMs(server, now) * zoneCost * busy * attempts;
         if (ms < bestMs) {
             best = &server;
             bestMs = ms;
@@ -167,7 +169,7 @@
 {
     auto result = Throughput{};
     const auto add = [&](const Server &server) {
-        if (!server.info.acceptsRequests) {
+        if (!acceptsRequests(server)) {
             return;
         }
         if (const auto until = unavailableUntil(server, request.zone); until > now) {
@@ -234,6 +236,11 @@
 
 auto SlotBroker::grant(const SlotRequest &request, Server &server, TimePoint now) -> void
 {
+    const auto &queued = m_waiting.at(request.id);
+    m_statistics.granted += 1;
+    m_statistics.expectedWait += queued.expectedWait;
+    m_statistics.actualWait += now - queued.queuedAt;
+    m_waiting.erase(request.id);
     server.running += 1;
     for (auto &[zone, failures] : server.failuresByZone) {
         failures.probes += zone == request.zone ? 1 : 0;
@@ -251,6 +258,7 @@
 
 auto SlotBroker::refuse(const SlotRequest &request, Duration retryAfter) -> void
 {
+    m_statistics.refused += 1;
     // Adds jitter, so that refused callers do not retry simultaneously.
     auto spread = std::uniform_real_distribution<double>(0.7, 1.6);
     const auto base = std::max<Duration>(retryAfter, minRetryAfter);
@@ -285,7 +293,6 @@
             }
             return false;
         }
-        m_waiting.erase(request.id);
         grant(request, *server, now);
         return true;
     });
@@ -332,7 +339,7 @@
     if (waiting == m_waiting.end()) {
         return std::nullopt;
     }
-    for (const auto &request : m_groups.at(waiting->second).waiting) {
+    for (const auto &request : m_groups.at(waiting->second.service).waiting) {
         if (request.id == id) {
             return KnownTicket{.service = request.service, .owner = request.owner};
         }
@@ -355,4 +362,9 @@
     return std::exchange(m_decisions, {});
 }
 
+auto SlotBroker::takeStatistics() -> SlotStatistics
+{
+    return std::exchange(m_statistics, {});
+}
+
 } // namespace figlanding
--- a/src/core/gateway/slot_broker_servers.cpp
+++ b/src/core/gateway/slot_broker_servers.cpp
@@ -81,20 +81,24 @@
     recordEnd(server, granted, result, now);
 }
 
-// Pauses a server that declined a request. Requests that were granted before it declined another
-// one tell nothing more than that one.
-auto SlotBroker::recordDecline(Server &server, TimePoint grantedAt, TimePoint now) const -> void
+auto SlotBroker::recordDecline(Server &server, const ActiveGrant &granted, const SlotResult &result,
+                               TimePoint now) -> void
 {
-    constexpr auto maxDoublings = 10U;
-    if (server.declines > 0 && grantedAt <= server.declinedAt) {
-        return;
-    }
-    const auto factor = std::exp2(std::min(server.declines, maxDoublings));
-    const auto pause = std::min(toMilliseconds(m_options.declineBackoff) * factor,
-                                toMilliseconds(m_options.maxDeclineBackoff));
-    server.declines += 1;
-    server.declinedAt = now;
-    server.pausedUntil = std::max(server.pausedUntil, now + fromMilliseconds(pause));
+    const auto kind = rejectionKindOf(result, server.info.coldUntil > now);
+    const auto waiting = result.load ? result.load->waiting : 0U;
+    const auto freeIn =
+        timeToFreeSlot(fromMilliseconds(expectedMs(server, now)), server.info.slots, waiting);
+    const auto rest = server.declines.onRejection(
+        {.kind = kind, .timeToFreeSlot = freeIn, .grantedAt = granted.grantedAt},
+        m_options.declineRest, now);
+    m_statistics.rejections[kind] += 1;
+    m_statistics.rest += rest;
+}
+
+auto SlotBroker::recordRun(Server &server, const SlotResult &result, TimePoint now) -> void
+{
+    const auto slotIsFree = result.load && result.load->waiting == 0;
+    server.declines.onRun(slotIsFree, now);
 }
 
 // Ignores a time that no request can take, as its slot is reclaimed before: with such an average,
@@ -124,11 +128,11 @@
     case SlotEnd::Served:
     case SlotEnd::Failed:
         recordResponse(server, zone, now);
-        server.declines = 0;
+        recordRun(server, result, now);
         recordServiceTime(server, granted, result);
         break;
     case SlotEnd::Declined:
-        recordDecline(server, granted.grantedAt, now);
+        recordDecline(server, granted, result, now);
         break;
     case SlotEnd::Misdirected:
         server.pausedUntil = std::max(server.pausedUntil, now + m_options.misdirectedBackoff);
@@ -166,15 +170,15 @@
 auto SlotBroker::unavailableUntil(const Server &server, const AvailabilityZoneId &zone) -> TimePoint
 {
     const auto *failures = failuresFor(server, zone);
-    return failures == nullptr ? server.pausedUntil
-                               : std::max(server.pausedUntil, failures->pausedUntil);
+    const auto until = std::max(server.pausedUntil, server.declines.until());
+    return failures == nullptr ? until : std::max(until, failures->pausedUntil);
 }
 
 auto SlotBroker::canAccept(const Server &server, const SlotRequest &request, TimePoint now) const
     -> bool
 {
     const auto &zone = request.zone;
-    if (!server.info.acceptsRequests || unavailableUntil(server, zone) > now
+    if (!acceptsRequests(server) || unavailableUntil(server, zone) > now
         || server.running >= server.info.slots || !server.limit.accepts(m_limitShare, now)) {
         return false;
     }
--- a/src/core/gateway/slot_message_codec.cpp
+++ b/src/core/gateway/slot_message_codec.cpp
@@ -66,6 +66,9 @@
             terms.push_back(toFloatPrecision(*limit));
         }
         result.push_back(std::move(terms));
+        if (message.terms->leaving) {
+            result.push_back(true);
+        }
     }
     return result;
 }
@@ -145,6 +148,9 @@
         if (!terms.empty()) {
             message.terms->requestsPerSecond = terms.at(0).get<double>();
         }
+        constexpr auto leavingField = std::size_t{6}; // VMs of earlier releases omit it
+        message.terms->leaving =
+            fields.size() > leavingField && fields.at(leavingField).get<bool>();
     }
     return message;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -469,10 +469,9 @@
     auto logQueue(TimePoint now) -> void
     {
         constexpr auto interval = seconds(1);
-        if (m_slots.waiting() > 0 && now - m_queueLoggedAt >= interval) {
+        if (now - m_queueLoggedAt >= interval) {
             m_queueLoggedAt = now;
-            logEvent(LogLevel::Info, "slots",
-                     {{"waiting", m_slots.waiting()}, {"granted", m_slots.granted()}});
+            m_slotLog.addDecisions(m_slots);
         }
     }
 
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -402,7 +402,8 @@
         auto &active = m_requests.at(number);
         active.verdict = Verdict::Ran;
         constexpr auto firstServerError = 500;
-        if (response.status >= firstServerError && takeRetry(active, Verdict::Ran)) {
+        if (response.status >= firstServerError
+            && m_retries.takeFor(active, Verdict::Ran, m_loop.now())) {
             retry(active);
             return;
         }
@@ -416,14 +417,6 @@
         respond(number, std::move(response));
     }
 
-    // Returns whether route, deadline and the retry budget allow another attempt, which is then
-    // withdrawn from the budget.
-    [[nodiscard]] auto takeRetry(const ActiveRequest &active, Verdict verdict) -> bool
-    {
-        return m_retries.isRetryable(active, verdict, m_loop.now())
-            && m_retries.take(active.service);
-    }
-
     // Schedules a retry: without a key at once and at another server, with a key at the owner after
     // a delay.
     auto retry(ActiveRequest &active) -> void
@@ -443,7 +436,7 @@
     {
         auto &active = m_requests.at(number);
         active.verdict = combine(active.verdict, verdict);
-        if (takeRetry(active, verdict)) {
+        if (m_retries.takeFor(active, verdict, m_loop.now())) {
             retry(active);
             return;
         }
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -118,6 +118,13 @@
     m_fallbackBroker.acquire(ticket.request, now);
 }
 
+auto SlotClient::takeStatistics() -> SlotStatistics
+{
+    auto result = m_broker.takeStatistics();
+    add(result, m_fallbackBroker.takeStatistics());
+    return result;
+}
+
 auto SlotClient::onLimitReports(const VmId &from, const std::vector<ServerLimit> &limits,
                                 TimePoint now) -> void
 {
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -117,6 +117,8 @@
     {
         return m_broker.serviceTimes();
     }
+    /// Returns the sums of the decisions since the last call and clears them.
+    [[nodiscard]] auto takeStatistics() -> SlotStatistics;
     /// Returns the limit of each server that has one, in requests per second.
     [[nodiscard]] auto limits(TimePoint now) const -> std::map<BackendServerId, double>
     {
--- a/src/gateway/slot_log.cpp
+++ b/src/gateway/slot_log.cpp
@@ -6,6 +6,15 @@
 
 namespace figlanding {
 
+namespace {
+
+auto toMs(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+} // namespace
+
 SlotLog::SlotLog(Metrics &metrics, std::string process)
     : m_metrics(metrics)
     , m_process(std::move(process))
@@ -44,4 +53,36 @@
               {"process", m_process}});
 }
 
+auto SlotLog::addDecisions(SlotClient &slots) -> void
+{
+    const auto sums = slots.takeStatistics();
+    m_metrics.addSlotWaits(sums.expectedWait, sums.actualWait);
+    m_metrics.addRest(sums.rest);
+    auto rejections = std::uint64_t{0};
+    for (const auto &[kind, count] : sums.rejections) {
+        m_metrics.addRejections(std::string(toText(kind)), count);
+        rejections += count;
+    }
+    if (slots.waiting() == 0 && rejections == 0 && sums.refused == 0) {
+        return;
+    }
+    const auto count = [&](RejectionKind kind) {
+        const auto found = sums.rejections.find(kind);
+        return found == sums.rejections.end() ? std::uint64_t{0} : found->second;
+    };
+    logEvent(LogLevel::Info, "slots",
+             {{"waiting", slots.waiting()},
+              {"held", slots.granted()},
+              {"granted", sums.granted},
+              {"refused", sums.refused},
+              {"expected_wait_ms", toMs(sums.expectedWait)},
+              {"actual_wait_ms", toMs(sums.actualWait)},
+              {"rejected_full", count(RejectionKind::Full)},
+              {"rejected_shedding", count(RejectionKind::Shedding)},
+              {"rejected_leaving", count(RejectionKind::Leaving)},
+              {"rejected_cold", count(RejectionKind::Cold)},
+              {"rejected_unreported", count(RejectionKind::Unreported)},
+              {"rest_ms", toMs(sums.rest)}});
+}
+
 } // namespace figlanding
--- a/src/gateway/slot_log.h
+++ b/src/gateway/slot_log.h
@@ -24,6 +24,9 @@
     auto add(const TicketConflict &conflict) -> void;
     /// Adds a grant of a server that runs another service than the request's.
     auto addOtherService(const RequestRecord &record, const ServerEntry &server) -> void;
+    /// Counts what the brokers of this VM decided, and adds a line if there was anything.
+    /// @param slots takes the sums of the decisions
+    auto addDecisions(SlotClient &slots) -> void;
 
 private:
     Metrics &m_metrics;
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -98,6 +98,16 @@
     MetricCache<prometheus::Counter> slotMismatches{registerCounterFamily(
         registry, "figlanding_slot_mismatches_total",
         "Slots and tickets that do not belong to the request that uses them, by kind.")};
+    MetricCache<prometheus::Counter> rejections{
+        registerCounterFamily(registry, "figlanding_server_rejections_total",
+                              "Requests that servers rejected, by what the rejections say.")};
+    prometheus::Counter &rest =
+        registerCounterFamily(registry, "figlanding_server_rest_seconds_total",
+                              "Time in which servers got no request after their rejections.")
+            .Add({});
+    MetricCache<prometheus::Counter> slotWaits{
+        registerCounterFamily(registry, "figlanding_slot_wait_seconds_total",
+                              "Waits of the requests that got a slot, expected and actual.")};
     MetricCache<prometheus::Counter> responses{
         registerCounterFamily(registry, "figlanding_responses_total",
                               "Responses of servers that were passed on, by how they end.")};
@@ -179,6 +189,22 @@
     m_impl->slotMismatches.get(kind, {{"kind", kind}}).Increment();
 }
 
+auto Metrics::addRejections(const std::string &kind, std::uint64_t count) -> void
+{
+    m_impl->rejections.get(kind, {{"kind", kind}}).Increment(static_cast<double>(count));
+}
+
+auto Metrics::addRest(Duration rest) -> void
+{
+    m_impl->rest.Increment(inSeconds(rest));
+}
+
+auto Metrics::addSlotWaits(Duration expected, Duration actual) -> void
+{
+    m_impl->slotWaits.get("expected", {{"wait", "expected"}}).Increment(inSeconds(expected));
+    m_impl->slotWaits.get("actual", {{"wait", "actual"}}).Increment(inSeconds(actual));
+}
+
 auto Metrics::countResponse(BodyEnd end) -> void
 {
     const auto text = std::string(figlanding::toText(end));
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -47,6 +47,14 @@
     /// Counts a slot or a ticket that does not belong to the request that uses it.
     /// @param kind what does not match: "acquire", "response" or "service"
     auto countSlotMismatch(const std::string &kind) -> void;
+    /// Adds requests that servers rejected to VMs for which this VM allocates slots.
+    /// @param kind what the rejections say, such as "full" or "shedding"
+    auto addRejections(const std::string &kind, std::uint64_t count) -> void;
+    /// Adds time in which servers got no request after their rejections.
+    auto addRest(Duration rest) -> void;
+    /// Adds the waits for slots of requests that got one: as expected on arrival, and the actual
+    /// ones.
+    auto addSlotWaits(Duration expected, Duration actual) -> void;
     /// Counts a server's response that was passed on to a caller.
     auto countResponse(BodyEnd end) -> void;
     /// Counts a connection to a server that had input while no request used it.
