--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "figlanding/gateway/overdue_share.h"
+#include "figlanding/gateway/route_work.h"
 #include "figlanding/gateway/slot_statistics.h"
 #include "figlanding/gateway/slot_types.h"
 #include "figlanding/random.h"
@@ -77,6 +79,7 @@
 
 private:
     static constexpr seconds grantWindow{1}; ///< over which the requests to a cold server count
+    static constexpr milliseconds retryAfterWithoutServers{300};
 
     // Losses at a server seen by the VMs of one zone; VMs of other zones may still reach it.
     struct ZoneFailures
@@ -91,12 +94,14 @@
     {
         BrokeredServer info;
         std::uint32_t running = 0;
-        double normalizedMs = 0.0; ///< average service time at the usual speed; 0: no samples
-        double observedMs = 0.0; ///< average service time, slow phases included; 0: no samples
+        // Average service times of requests of factor 1 (see RouteWork); 0: no samples.
+        double normalizedMs = 0.0; ///< at the usual speed
+        double observedMs = 0.0; ///< slow phases included
         double slowness = 1.0;
         TimePoint loadReportedAt;
         TimePoint pausedUntil; ///< set when a request was misdirected
         DeclineRest declines;
+        OverdueShare overdue; ///< of requests that only this server may run
         TimePoint mayBeColdUntil; ///< it may have restarted without an announcement so far
         /// Losses by the zone of the VMs that saw them.
         std::map<AvailabilityZoneId, ZoneFailures> failuresByZone;
@@ -108,6 +113,8 @@
     {
         std::map<BackendServerId, Server> servers;
         std::vector<SlotRequest> waiting;
+        RouteWork work;
+        OverdueShare overdue; ///< of requests that any server may run
     };
     struct QueuedTicket
     {
@@ -121,6 +128,7 @@
         BackendServerId owner;
         ServerIncarnation incarnation;
         AvailabilityZoneId zone; ///< of the VM that holds the slot
+        RouteId route;
         TimePoint grantedAt;
         TimePoint expiresAt;
     };
@@ -139,7 +147,7 @@
     // Combined capacity of the servers that may run a request.
     struct Throughput
     {
-        double perMs = 0.0; ///< requests completed per millisecond
+        double perMs = 0.0; ///< requests of factor 1 completed per millisecond
         bool hasFreeSlot = false; ///< at least one server can accept the request now
         std::optional<Duration> pause; ///< time until the first paused server is available
     };
@@ -147,10 +155,9 @@
     [[nodiscard]] auto throughput(const ServiceGroup &group, const SlotRequest &request,
                                   TimePoint now) const -> Throughput;
     [[nodiscard]] auto expectedWait(const ServiceGroup &group, const SlotRequest &request,
-                                    std::size_t ahead, TimePoint now) const
-        -> std::optional<Duration>;
-    [[nodiscard]] static auto countAhead(const ServiceGroup &group, const SlotRequest &request)
-        -> std::size_t;
+                                    double ahead, TimePoint now) const -> std::optional<Duration>;
+    [[nodiscard]] static auto workAhead(const ServiceGroup &group, const SlotRequest &request)
+        -> double;
     [[nodiscard]] auto minServiceTime(const ServiceGroup &group, const SlotRequest &request) const
         -> Duration;
     auto refuseInfeasible(ServiceGroup &group, TimePoint now) -> void;
@@ -160,6 +167,10 @@
     auto grant(const SlotRequest &request, Server &server, TimePoint now) -> void;
     auto refuse(const SlotRequest &request, Duration retryAfter) -> void;
     auto dispatch(ServiceGroup &group, TimePoint now) -> void;
+    // Sorts the queue and returns the requests that go ahead of more urgent ones.
+    static auto sortQueue(ServiceGroup &group, TimePoint now) -> std::set<TicketId>;
+    static auto findOverdue(ServiceGroup &group, TimePoint now) -> std::set<TicketId>;
+    static auto overdueShare(ServiceGroup &group, const BackendServerId &owner) -> OverdueShare *;
     static auto releaseSlot(Server &server, const AvailabilityZoneId &zone) -> void;
     auto recordLoss(Server &server, const AvailabilityZoneId &zone, bool reached, TimePoint now)
         -> void;
@@ -177,8 +188,8 @@
                                      TimePoint now) const -> double;
     auto recordResult(Server &server, const ActiveGrant &granted, const SlotResult &result,
                       TimePoint now) -> void;
-    auto recordServiceTime(Server &server, const ActiveGrant &granted,
-                           const SlotResult &result) const -> void;
+    auto recordServiceTime(Server &server, const ActiveGrant &granted, const SlotResult &result)
+        -> void;
     auto recordEnd(Server &server, const ActiveGrant &granted, const SlotResult &result,
                    TimePoint now) -> void;
     auto expireGrants(TimePoint now) -> void;
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <set>
-#include <tuple>
 #include <utility>
 
 namespace figlanding {
@@ -14,7 +12,6 @@
 namespace {
 
 constexpr milliseconds minRetryAfter{50};
-constexpr milliseconds retryAfterWithoutServers{300};
 
 auto excludes(const SlotRequest &request, const BackendServerId &server) -> bool
 {
@@ -59,7 +56,7 @@
         return;
     }
     auto &group = m_groups[request.service];
-    const auto wait = expectedWait(group, request, countAhead(group, request), now);
+    const auto wait = expectedWait(group, request, workAhead(group, request), now);
     if (!wait) {
         refuse(request, retryAfterWithoutServers);
         return;
@@ -161,7 +158,8 @@
 auto SlotBroker::minServiceTime(const ServiceGroup &group, const SlotRequest &request) const
     -> Duration
 {
-    return fromMilliseconds(typicalServiceMs(group, request) * m_options.minServiceTimeFraction);
+    return fromMilliseconds(typicalServiceMs(group, request) * group.work.factor(request.route)
+                            * m_options.minServiceTimeFraction);
 }
 
 auto SlotBroker::throughput(const ServiceGroup &group, const SlotRequest &request,
@@ -194,46 +192,6 @@
     return result;
 }
 
-auto SlotBroker::countAhead(const ServiceGroup &group, const SlotRequest &request) -> std::size_t
-{
-    return static_cast<std::size_t>(
-        std::count_if(group.waiting.begin(), group.waiting.end(), [&](const SlotRequest &other) {
-            return other.owner == request.owner && other.priority <= request.priority;
-        }));
-}
-
-auto SlotBroker::expectedWait(const ServiceGroup &group, const SlotRequest &request,
-                              std::size_t ahead, TimePoint now) const -> std::optional<Duration>
-{
-    const auto servers = throughput(group, request, now);
-    if (servers.perMs <= 0.0) {
-        return servers.pause;
-    }
-    if (servers.hasFreeSlot && ahead == 0) {
-        return Duration::zero();
-    }
-    return fromMilliseconds(static_cast<double>(ahead + 1) / servers.perMs);
-}
-
-// Refuses each request that cannot be served in time after those ahead of it in the queue.
-auto SlotBroker::refuseInfeasible(ServiceGroup &group, TimePoint now) -> void
-{
-    auto ahead = std::map<BackendServerId, std::size_t>{};
-    std::erase_if(group.waiting, [&](const SlotRequest &request) {
-        auto &count = ahead[request.owner];
-        const auto wait = expectedWait(group, request, count, now);
-        // Without available servers a request keeps waiting: the registry or the owner may change.
-        const auto needed = wait.value_or(Duration::zero()) + minServiceTime(group, request);
-        if (now + needed <= request.deadline) {
-            ++count;
-            return false;
-        }
-        m_waiting.erase(request.id);
-        refuse(request, wait.value_or(retryAfterWithoutServers));
-        return true;
-    });
-}
-
 auto SlotBroker::grant(const SlotRequest &request, Server &server, TimePoint now) -> void
 {
     const auto &queued = m_waiting.at(request.id);
@@ -251,6 +209,7 @@
                                   .owner = request.owner,
                                   .incarnation = server.info.incarnation,
                                   .zone = request.zone,
+                                  .route = request.route,
                                   .grantedAt = now,
                                   .expiresAt = request.deadline + m_options.ticketGrace};
     m_decisions.push_back({.id = request.id, .outcome = SlotGrant{server.info.incarnation}});
@@ -267,37 +226,6 @@
          .outcome = SlotRefusal{fromMilliseconds(toMilliseconds(base) * spread(m_random))}});
 }
 
-auto SlotBroker::dispatch(ServiceGroup &group, TimePoint now) -> void
-{
-    // Within a priority, requests that can still meet their objective precede those that cannot.
-    const auto order = [&](const SlotRequest &request) {
-        return std::tuple(request.priority, request.objectiveAt <= now, request.arrivedAt);
-    };
-    const auto before = [&](const auto &left, const auto &right) {
-        return order(left) < order(right);
-    };
-    if (!std::is_sorted(group.waiting.begin(), group.waiting.end(), before)) {
-        std::stable_sort(group.waiting.begin(), group.waiting.end(), before);
-    }
-    // If there is no slot for a request, there is none for the next one of the same owner and zone.
-    auto full = std::set<std::pair<BackendServerId, AvailabilityZoneId>>{};
-    std::erase_if(group.waiting, [&](const SlotRequest &request) {
-        const auto kind = std::pair(request.owner, request.zone);
-        if (full.contains(kind) || now + minServiceTime(group, request) > request.deadline) {
-            return false;
-        }
-        auto *server = selectServer(group, request, now);
-        if (server == nullptr) {
-            if (request.excluded.empty()) {
-                full.insert(kind);
-            }
-            return false;
-        }
-        grant(request, *server, now);
-        return true;
-    });
-}
-
 auto SlotBroker::tick(TimePoint now) -> void
 {
     expireGrants(now);
--- a/src/core/gateway/slot_broker_servers.cpp
+++ b/src/core/gateway/slot_broker_servers.cpp
@@ -10,6 +10,13 @@
 
 namespace figlanding {
 
+namespace {
+
+/// A request that takes less counts as one of this time, so that no route is without work.
+constexpr double minSampleMs = 0.1;
+
+} // namespace
+
 auto SlotBroker::recordLoss(Server &server, const AvailabilityZoneId &zone, bool reached,
                             TimePoint now) -> void
 {
@@ -86,8 +93,8 @@
 {
     const auto kind = rejectionKindOf(result, server.info.coldUntil > now);
     const auto waiting = result.load ? result.load->waiting : 0U;
-    const auto freeIn =
-        timeToFreeSlot(fromMilliseconds(expectedMs(server, now)), server.info.slots, waiting);
+    const auto meanMs = expectedMs(server, now) * m_groups[granted.service].work.mean();
+    const auto freeIn = timeToFreeSlot(fromMilliseconds(meanMs), server.info.slots, waiting);
     const auto rest = server.declines.onRejection(
         {.kind = kind, .timeToFreeSlot = freeIn, .grantedAt = granted.grantedAt},
         m_options.declineRest, now);
@@ -104,7 +111,7 @@
 // Ignores a time that no request can take, as its slot is reclaimed before: with such an average,
 // the server would seem too slow for every request, and no further one would correct it.
 auto SlotBroker::recordServiceTime(Server &server, const ActiveGrant &granted,
-                                   const SlotResult &result) const -> void
+                                   const SlotResult &result) -> void
 {
     if (result.elapsed > granted.expiresAt - granted.grantedAt) {
         return;
@@ -112,12 +119,17 @@
     // Service time normalized to the server's usual speed.
     const auto sample =
         toMilliseconds(result.elapsed) / std::max(1.0, result.load ? result.load->slowness : 1.0);
+    auto &work = m_groups[granted.service].work;
+    if (server.normalizedMs > 0.0) {
+        work.add(granted.route, std::max(sample, minSampleMs) / server.normalizedMs);
+    }
+    const auto factor = work.factor(granted.route);
     const auto update = [&](double &average, double value) {
         average =
             average == 0.0 ? value : average + m_options.serviceTimeWeight * (value - average);
     };
-    update(server.normalizedMs, sample);
-    update(server.observedMs, toMilliseconds(result.elapsed));
+    update(server.normalizedMs, sample / factor);
+    update(server.observedMs, toMilliseconds(result.elapsed) / factor);
 }
 
 auto SlotBroker::recordEnd(Server &server, const ActiveGrant &granted, const SlotResult &result,
@@ -145,8 +157,9 @@
         break;
     case SlotEnd::TimedOut:
         // The timeout of a request that had little time left is no evidence of a server failure.
-        if (toMilliseconds(result.elapsed)
-            > observedServiceMs(server) * m_options.timeoutLossFactor) {
+        if (toMilliseconds(result.elapsed) > observedServiceMs(server)
+                * m_groups[granted.service].work.factor(granted.route)
+                * m_options.timeoutLossFactor) {
             recordLoss(server, zone, true, now);
         }
         break;
@@ -215,18 +228,21 @@
     return usual * (current ? server.slowness : 1.0);
 }
 
-// Returns the rate at which a server completes requests, within its cold rate and its limit.
+// Returns the rate at which a server completes requests of factor 1, within its cold rate and its
+// limit.
 auto SlotBroker::requestsPerMs(const Server &server, const SlotRequest &request,
                                TimePoint now) const -> double
 {
     constexpr auto msPerSecond = 1000.0;
+    const auto group = m_groups.find(request.service);
+    const auto mean = group == m_groups.end() ? 1.0 : group->second.work.mean();
     auto result = server.info.slots / observedServiceMs(server);
     if (isCold(server, request, now)) {
         const auto rate = m_withoutCold.contains(request.service) ? 0.0 : coldRate(server);
-        result = std::min(result, rate / msPerSecond);
+        result = std::min(result, rate * mean / msPerSecond);
     }
     if (const auto pace = server.limit.pace(m_limitShare, now)) {
-        result = std::min(result, *pace / msPerSecond);
+        result = std::min(result, *pace * mean / msPerSecond);
     }
     return result;
 }
@@ -237,7 +253,8 @@
     for (const auto &[service, group] : m_groups) {
         for (const auto &[id, server] : group.servers) {
             if (server.normalizedMs > 0.0) {
-                result.emplace(id, milliseconds(std::llround(server.normalizedMs)));
+                const auto mean = server.normalizedMs * group.work.mean();
+                result.emplace(id, milliseconds(std::llround(mean)));
             }
         }
     }
