--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -53,6 +53,8 @@
     {
         return m_activeGrants.size();
     }
+    /// Returns how much more the servers of a service can take from any VM.
+    [[nodiscard]] auto room(const ServiceId &service, TimePoint now) const -> GroupRoom;
     /// Returns the average service time of each server at its usual speed. Key rebalancing uses it.
     [[nodiscard]] auto serviceTimes() const -> std::map<BackendServerId, milliseconds>;
 
--- a/include/figlanding/gateway/slot_types.h
+++ b/include/figlanding/gateway/slot_types.h
@@ -87,6 +87,7 @@
 {
     TicketId id;
     std::variant<SlotGrant, SlotRefusal> outcome;
+    ServiceId service; ///< empty if only the owner of a key could run the request
 };
 
 /// A ticket that waits for a slot or holds one.
--- a/src/core/gateway/slot_broker.cpp
+++ b/src/core/gateway/slot_broker.cpp
@@ -22,6 +22,12 @@
     return std::find(list.begin(), list.end(), server) != list.end();
 }
 
+// Returns the service of a request that any of its servers may run, or an empty name.
+auto serviceOfAnyServer(const SlotRequest &request) -> ServiceId
+{
+    return request.owner.empty() ? request.service : ServiceId();
+}
+
 } // namespace
 
 SlotBroker::SlotBroker(const SlotBrokerOptions &options, std::uint64_t randomSeed)
@@ -51,8 +57,9 @@
 auto SlotBroker::acquire(const SlotRequest &request, TimePoint now) -> void
 {
     if (const auto granted = m_activeGrants.find(request.id); granted != m_activeGrants.end()) {
-        m_decisions.push_back(
-            {.id = request.id, .outcome = SlotGrant{granted->second.incarnation}});
+        m_decisions.push_back({.id = request.id,
+                               .outcome = SlotGrant{granted->second.incarnation},
+                               .service = serviceOfAnyServer(request)});
         return;
     }
     if (isWaiting(request.id)) {
@@ -246,7 +253,9 @@
                                   .zone = request.zone,
                                   .grantedAt = now,
                                   .expiresAt = request.deadline + m_options.ticketGrace};
-    m_decisions.push_back({.id = request.id, .outcome = SlotGrant{server.info.incarnation}});
+    m_decisions.push_back({.id = request.id,
+                           .outcome = SlotGrant{server.info.incarnation},
+                           .service = serviceOfAnyServer(request)});
 }
 
 auto SlotBroker::refuse(const SlotRequest &request, Duration retryAfter) -> void
@@ -256,7 +265,8 @@
     const auto base = std::max<Duration>(retryAfter, minRetryAfter);
     m_decisions.push_back(
         {.id = request.id,
-         .outcome = SlotRefusal{fromMilliseconds(toMilliseconds(base) * spread(m_random))}});
+         .outcome = SlotRefusal{fromMilliseconds(toMilliseconds(base) * spread(m_random))},
+         .service = serviceOfAnyServer(request)});
 }
 
 auto SlotBroker::dispatch(ServiceGroup &group, TimePoint now) -> void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "figlanding/gateway/suspend_detector.h"
 #include "gateway/fleet_link.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/group_log.h"
 #include "gateway/key_controller_runner.h"
 #include "gateway/request_log.h"
 #include "gateway/request_path.h"
@@ -59,6 +60,7 @@
         , m_metrics(m_settings.vm)
         , m_requestLog(m_metrics)
         , m_slotLog(m_metrics, m_incarnation)
+        , m_groupLog(m_metrics)
         , m_unservedLog(m_metrics)
         , m_storeClient(loop, {.tcpUserTimeout = storeTcpUserTimeout})
         , m_serverClient(
@@ -342,6 +344,7 @@
                 updateServers();
             }
             m_slots.onLimitReports(message.from, heartbeat->serverLimits, now);
+            m_slots.onGroupRooms(heartbeat->groupRooms, now);
             m_limits.report(message.from, message.incarnation, heartbeat->usageByTeam, now);
             reportProgress(message, *heartbeat);
             for (auto *follower : followers()) {
@@ -407,7 +410,8 @@
                       .usageByTeam = m_limits.takeUsage(now),
                       .groupCounts = m_slots.groupCounts(),
                       .serverLimits = m_slots.statedLimits(now),
-                      .uptime = std::chrono::duration_cast<milliseconds>(now - m_startedAt)});
+                      .uptime = std::chrono::duration_cast<milliseconds>(now - m_startedAt),
+                      .groupRooms = m_slots.groupRooms(now)});
         if (!m_announced && now >= m_announceAt) {
             m_announceAt = now + milliseconds(1500);
             announceSelf();
@@ -466,16 +470,6 @@
         m_slots.setServers(m_storeView.registry(), coldRates);
     }
 
-    auto logQueue(TimePoint now) -> void
-    {
-        constexpr auto interval = seconds(1);
-        if (m_slots.waiting() > 0 && now - m_queueLoggedAt >= interval) {
-            m_queueLoggedAt = now;
-            logEvent(LogLevel::Info, "slots",
-                     {{"waiting", m_slots.waiting()}, {"granted", m_slots.granted()}});
-        }
-    }
-
     // Detects a suspension of this VM, during which another VM may have become the controller.
     auto checkSuspension() -> void
     {
@@ -494,7 +488,7 @@
     auto runController() -> void
     {
         checkSuspension();
-        logQueue(m_loop.now());
+        m_groupLog.report(m_slots, m_loop.now());
         if (m_controllerRunner.active()) {
             m_keyLoads.decay(m_loop.now());
         }
@@ -546,6 +540,7 @@
     Metrics m_metrics;
     RequestLog m_requestLog;
     SlotLog m_slotLog;
+    GroupLog m_groupLog;
     UnservedLog m_unservedLog;
     HttpClient m_storeClient;
     HttpClient m_serverClient;
@@ -569,7 +564,6 @@
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_adminServer;
     KeyLoads m_keyLoads;
-    TimePoint m_queueLoggedAt;
     bool m_announced = false;
     TimePoint m_announceAt;
     bool m_leaving = false;
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -1,7 +1,6 @@
 #include "gateway/slot_client.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace figlanding {
@@ -42,21 +41,38 @@
     , m_broker(m_options.broker, m_options.randomSeed)
     , m_fallbackBroker(m_options.broker, m_options.randomSeed + 1)
     , m_random(m_options.randomSeed + 2)
+    , m_groupChoice(m_options.groupChoice)
     , m_unconfirmedReleases(m_options.releases)
 { }
 
 auto SlotClient::acquire(SlotRequest request, TimePoint now) -> void
 {
-    request.service = pickGroup(request);
+    auto service = request.service;
+    request.service = pickGroup(request, now);
     request.zone = m_options.zone;
     const auto requestNumber = request.id.number;
+    start({.request = std::move(request),
+           .service = std::move(service),
+           .requestNumber = requestNumber},
+          now);
+}
+
+auto SlotClient::start(Ticket ticket, TimePoint now) -> void
+{
     const auto number = m_nextTicket++;
-    request.id = {.vm = m_options.self, .process = m_options.process, .number = number};
-    m_ticketNumbers[requestNumber] = number;
-    auto &ticket = m_tickets[number];
-    ticket = {.request = std::move(request), .requestNumber = requestNumber, .lastResponseAt = now};
+    ticket.request.id = {.vm = m_options.self, .process = m_options.process, .number = number};
     ticket.responsibleVm = findResponsibleVm(ticket.request.service, now);
-    sendAcquire(number, ticket, now);
+    ticket.vmsTried = 1;
+    ticket.lastResponseAt = now;
+    m_ticketNumbers[ticket.requestNumber] = number;
+    m_groupChoice.onSent(ticket.groupOfAnyServer());
+    auto &started = m_tickets[number];
+    started = std::move(ticket);
+    const auto isOwn = started.responsibleVm == m_options.self;
+    sendAcquire(number, started, now);
+    if (isOwn) {
+        moveIfEarlier(number, now);
+    }
 }
 
 auto SlotClient::sendAcquire(std::uint64_t number, Ticket &ticket, TimePoint now) -> void
@@ -64,8 +80,9 @@
     const auto &request = ticket.request;
     ticket.sentAt = now;
     if (ticket.responsibleVm == m_options.self) {
+        onAskedForAnyServer(ticket.groupOfAnyServer());
         m_broker.acquire(request, now);
-        deliver(m_broker);
+        deliver(m_broker, now);
         return;
     }
     m_handlers.send(ticket.responsibleVm,
@@ -81,23 +98,10 @@
                                 .route = request.route});
 }
 
-// Returns the VM that allocates the slots of a group, excluding VMs that did not respond recently.
-// Liveness alone is not enough: when packets are lost in one direction, heartbeats of a VM arrive
-// here although it does not receive requests of this VM.
-auto SlotClient::findResponsibleVm(const ServiceId &group, TimePoint now) -> VmId
-{
-    std::erase_if(m_avoidedUntil, [&](const auto &item) { return item.second <= now; });
-    auto avoided = std::set<VmId>{};
-    for (const auto &[vm, until] : m_avoidedUntil) {
-        avoided.insert(vm);
-    }
-    return m_view.responsibleVm(group.value(), now, avoided);
-}
-
-auto SlotClient::sendRelease(const VmId &to, const SlotRelease &release, TimePoint now) -> void
+auto SlotClient::sendRelease(const AddressedRelease &release, TimePoint now) -> void
 {
-    m_handlers.send(to, release);
-    m_unconfirmedReleases.add({.to = to, .release = release}, now);
+    m_handlers.send(release.to, release.release);
+    m_unconfirmedReleases.add(release, now);
 }
 
 // Withdraws an undecided request from the VM that it was sent to, which may be this one.
@@ -108,7 +112,10 @@
         m_broker.release(id, {.end = SlotEnd::Abandoned}, now);
         return;
     }
-    sendRelease(ticket.responsibleVm, {.ticket = id.number, .end = SlotEnd::Abandoned}, now);
+    sendRelease({.to = ticket.responsibleVm,
+                 .release = {.ticket = id.number, .end = SlotEnd::Abandoned},
+                 .group = ticket.groupOfAnyServer()},
+                now);
 }
 
 auto SlotClient::decideLocally(Ticket &ticket, TimePoint now) -> void
@@ -134,29 +141,34 @@
         return;
     }
     const auto entry = m_tickets.extract(number.mapped());
-    const auto &id = entry.mapped().request.id;
-    if (entry.mapped().decidedLocally) {
+    const auto &ticket = entry.mapped();
+    const auto &id = ticket.request.id;
+    if (ticket.decidedLocally) {
         m_fallbackBroker.release(id, result, now);
-        deliver(m_fallbackBroker);
-    } else if (entry.mapped().responsibleVm == m_options.self) {
+        deliver(m_fallbackBroker, now);
+    } else if (ticket.responsibleVm == m_options.self) {
         m_broker.release(id, result, now);
-        deliver(m_broker);
+        deliver(m_broker, now);
     } else {
-        sendRelease(entry.mapped().responsibleVm,
-                    {.ticket = id.number,
-                     .end = result.end,
-                     .elapsed = toMs(result.elapsed),
-                     .load = result.load,
-                     .terms = result.terms},
+        sendRelease({.to = ticket.responsibleVm,
+                     .release = {.ticket = id.number,
+                                 .end = result.end,
+                                 .elapsed = toMs(result.elapsed),
+                                 .load = result.load,
+                                 .terms = result.terms},
+                     .group = ticket.groupOfAnyServer()},
                     now);
     }
 }
 
-auto SlotClient::deliver(SlotBroker &broker) -> void
+auto SlotClient::deliver(SlotBroker &broker, TimePoint now) -> void
 {
     for (const auto &decision : broker.takeDecisions()) {
         if (decision.id.vm == m_options.self) {
-            resolveTicket(decision.id.number, decision.outcome);
+            const auto refused = std::holds_alternative<SlotRefusal>(decision.outcome);
+            if (!refused || !retryElsewhere(decision.id.number, now)) {
+                resolveTicket(decision.id.number, decision.outcome);
+            }
             continue;
         }
         auto response = SlotResponse{.ticket = decision.id.number};
@@ -168,6 +180,7 @@
             response.state = SlotState::Refused;
             response.retryAfter = toMs(std::get<SlotRefusal>(decision.outcome).retryAfter);
         }
+        response.room = roomOf(decision.service, now);
         m_handlers.send(decision.id.vm, response);
     }
 }
@@ -230,6 +243,8 @@
                                    .named = named});
         }
     }
+    const auto group = acquire.owner.empty() ? acquire.service : ServiceId();
+    onAskedForAnyServer(group);
     m_broker.acquire({.id = id,
                       .service = acquire.service,
                       .owner = acquire.owner,
@@ -241,10 +256,11 @@
                       .deadline = now + acquire.deadlineIn,
                       .route = acquire.route},
                      now);
-    deliver(m_broker);
+    deliver(m_broker, now);
     if (m_broker.isWaiting(id)) {
         auto response = SlotResponse{.ticket = acquire.ticket, .state = SlotState::Queued};
         response.process = message.incarnation;
+        response.room = roomOf(group, now);
         m_handlers.send(message.from, response);
     }
 }
@@ -252,17 +268,22 @@
 auto SlotClient::onRelease(const FleetMessage &message, const SlotRelease &release, TimePoint now)
     -> void
 {
-    m_broker.release({.vm = message.from, .process = message.incarnation, .number = release.ticket},
+    const auto id =
+        TicketId{.vm = message.from, .process = message.incarnation, .number = release.ticket};
+    const auto known = m_broker.find(id);
+    m_broker.release(id,
                      {.end = release.end,
                       .elapsed = release.elapsed,
                       .load = release.load,
                       .terms = release.terms},
                      now);
-    deliver(m_broker);
-    m_handlers.send(message.from,
-                    SlotResponse{.ticket = release.ticket,
-                                 .process = message.incarnation,
-                                 .state = SlotState::Released});
+    deliver(m_broker, now);
+    auto response = SlotResponse{.ticket = release.ticket, .state = SlotState::Released};
+    response.process = message.incarnation;
+    if (known && known->owner.empty()) {
+        response.room = roomOf(known->service, now);
+    }
+    m_handlers.send(message.from, response);
 }
 
 auto SlotClient::onResponse(const FleetMessage &message, const SlotResponse &response,
@@ -280,7 +301,7 @@
         return;
     }
     if (response.state == SlotState::Released) {
-        m_unconfirmedReleases.confirm(from, response.ticket);
+        onRoom(m_unconfirmedReleases.confirm(from, response.ticket), response.room, now);
         return;
     }
     const auto found = m_tickets.find(response.ticket);
@@ -290,15 +311,20 @@
         const auto duplicate = found != m_tickets.end() && !found->second.decidedLocally
             && found->second.responsibleVm == from;
         if (response.state == SlotState::Granted && !duplicate) {
-            sendRelease(from, {.ticket = response.ticket, .end = SlotEnd::Abandoned}, now);
+            sendRelease(
+                {.to = from, .release = {.ticket = response.ticket, .end = SlotEnd::Abandoned}},
+                now);
         }
         return;
     }
     found->second.lastResponseAt = now;
     m_avoidedUntil.erase(from);
+    onRoom(found->second.groupOfAnyServer(), response.room, now);
     if (response.state == SlotState::Granted) {
         resolveTicket(response.ticket, SlotGrant{response.server});
-    } else if (response.state == SlotState::Refused) {
+    } else if (response.state == SlotState::Queued) {
+        moveIfEarlier(response.ticket, now);
+    } else if (response.state == SlotState::Refused && !retryElsewhere(response.ticket, now)) {
         resolveTicket(response.ticket, SlotRefusal{response.retryAfter});
     }
 }
@@ -306,14 +332,15 @@
 auto SlotClient::tick(TimePoint now) -> void
 {
     updateColdGrants(now);
+    m_groupChoice.expire(now);
     // Without the responsible VM, each VM may be one of all that send to a server.
     m_fallbackBroker.setLimitShare(1.0 / static_cast<double>(m_view.aliveCount(now)));
     m_broker.tick(now);
     m_fallbackBroker.tick(now);
     // Requests that these granted or refused must not move below.
-    deliver(m_broker);
-    deliver(m_fallbackBroker);
-    for (const auto &[to, release] : m_unconfirmedReleases.takeDue(now)) {
+    deliver(m_broker, now);
+    deliver(m_fallbackBroker, now);
+    for (const auto &[to, release, group] : m_unconfirmedReleases.takeDue(now)) {
         m_handlers.send(to, release);
     }
     auto overdue = std::vector<std::uint64_t>{};
@@ -337,6 +364,9 @@
         if (responsibleVm == ticket.responsibleVm) {
             if (responsibleVm != m_options.self) {
                 sendAcquire(number, ticket, now);
+            } else {
+                ticket.sentAt = now;
+                moveIfEarlier(number, now);
             }
             continue;
         }
@@ -351,8 +381,8 @@
         ticket.lastResponseAt = now;
         sendAcquire(number, ticket, now);
     }
-    deliver(m_broker);
-    deliver(m_fallbackBroker);
+    deliver(m_broker, now);
+    deliver(m_fallbackBroker, now);
 }
 
 } // namespace figlanding
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/gateway/fleet_messages.h"
 #include "figlanding/gateway/fleet_view.h"
+#include "figlanding/gateway/group_choice.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/slot_broker.h"
 #include "gateway/unconfirmed_releases.h"
@@ -9,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +39,19 @@
     /// others.
     milliseconds coldTakeover{2000};
     UnconfirmedReleasesOptions releases;
+    GroupChoiceOptions groupChoice;
+    std::uint32_t maxMoves = 2; ///< times that a waiting request may move to another group
+};
+
+/// How this VM's requests without a key chose their groups since its start.
+struct GroupChoiceCounts
+{
+    std::uint64_t informed = 0; ///< choices with recent reports of groups
+    std::uint64_t uninformed = 0; ///< choices without any
+    std::uint64_t movedWaiting = 0; ///< requests that left the queue of a group for another group
+    std::uint64_t movedRefused = 0; ///< requests that were refused by a group and asked another one
+
+    auto operator==(const GroupChoiceCounts &) const -> bool = default;
 };
 
 /// How a message about a ticket does not agree with the ticket.
@@ -89,6 +104,20 @@
     /// Takes over the larger numbers of groups that another VM uses.
     /// @return whether a number changed; setServers() must then be called
     auto raiseGroupCounts(const std::map<ServiceId, std::size_t> &counts) -> bool;
+    /// Returns the room in the groups whose slots this VM allocates, of services with several
+    /// groups. Sent to all VMs.
+    [[nodiscard]] auto groupRooms(TimePoint now) const -> std::map<ServiceId, GroupRoom>;
+    /// Takes over the room in the groups whose slots another VM allocates.
+    auto onGroupRooms(const std::map<ServiceId, GroupRoom> &rooms, TimePoint now) -> void;
+    /// Returns what is known of the groups of services with several groups.
+    [[nodiscard]] auto groupReports() const -> const std::map<ServiceId, GroupReport> &
+    {
+        return m_groupChoice.reports();
+    }
+    [[nodiscard]] auto groupChoiceCounts() const -> const GroupChoiceCounts &
+    {
+        return m_groupChoiceCounts;
+    }
     /// Requests a slot. The decision may be delivered before this returns.
     /// @param request the number of its id is the caller's and may be used again after release();
     /// the ticket's number, service and zone are filled in
@@ -137,7 +166,10 @@
     struct Ticket
     {
         SlotRequest request; ///< its service is the name of the group
+        ServiceId service; ///< to which the group belongs
         std::uint64_t requestNumber = 0; ///< given to acquire()
+        std::uint32_t moves = 0; ///< to another group while it waited
+        bool wasRefused = false; ///< by another group
         VmId responsibleVm;
         bool granted = false;
         bool decidedLocally = false; ///< by the fallback broker, without the responsible VM
@@ -145,19 +177,39 @@
         /// Time of the last response of the responsible VM, or of the first request to it.
         TimePoint lastResponseAt;
         TimePoint sentAt;
+
+        /// Returns the group if any of its servers may run the request, or an empty name.
+        [[nodiscard]] auto groupOfAnyServer() const -> ServiceId
+        {
+            return request.owner.empty() ? request.service : ServiceId();
+        }
     };
 
     [[nodiscard]] auto groupOf(const ServiceId &service, const BackendServerId &server) const
         -> ServiceId;
-    [[nodiscard]] auto pickGroup(const SlotRequest &request) -> ServiceId;
+    [[nodiscard]] auto groupsOf(const ServiceId &service) const -> std::vector<ServiceId>;
+    [[nodiscard]] auto pickGroup(const SlotRequest &request, TimePoint now) -> ServiceId;
+    [[nodiscard]] auto roomOf(const ServiceId &group, TimePoint now) const
+        -> std::optional<GroupRoom>;
+    auto onAskedForAnyServer(const ServiceId &group) -> void;
+    auto updateOwnRooms(TimePoint now) -> void;
+    auto onRoom(const ServiceId &group, const std::optional<GroupRoom> &room, TimePoint now)
+        -> void;
+    // Gives a ticket a new number and requests its slot.
+    auto start(Ticket ticket, TimePoint now) -> void;
+    // Moves a waiting request to another group, if it is served clearly earlier there.
+    auto moveIfEarlier(std::uint64_t number, TimePoint now) -> void;
+    // Requests a slot of another group for a request that its group refused. Returns whether one is
+    // known that may have room.
+    auto retryElsewhere(std::uint64_t number, TimePoint now) -> bool;
     auto updateColdGrants(TimePoint now) -> void;
     auto sendAcquire(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
     [[nodiscard]] auto findResponsibleVm(const ServiceId &group, TimePoint now) -> VmId;
     // Sends a release, and again until it is confirmed.
-    auto sendRelease(const VmId &to, const SlotRelease &release, TimePoint now) -> void;
+    auto sendRelease(const AddressedRelease &release, TimePoint now) -> void;
     auto withdraw(const Ticket &ticket, TimePoint now) -> void;
     auto decideLocally(Ticket &ticket, TimePoint now) -> void;
-    auto deliver(SlotBroker &broker) -> void;
+    auto deliver(SlotBroker &broker, TimePoint now) -> void;
     auto resolveTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome)
         -> void;
     auto onAcquire(const FleetMessage &message, const SlotAcquire &acquire, TimePoint now) -> void;
@@ -172,7 +224,12 @@
     /// One slot per server; used when the responsible VM does not respond.
     SlotBroker m_fallbackBroker;
     RandomEngine m_random;
+    GroupChoice m_groupChoice;
+    GroupChoiceCounts m_groupChoiceCounts;
     std::map<ServiceId, std::size_t> m_groupCounts;
+    std::set<ServiceId> m_dividedGroups; ///< groups of services with several
+    /// Groups of which this VM was asked for any server. Nobody needs to know the room of others.
+    std::set<ServiceId> m_groupsOfAnyServer;
     /// Groups that this VM is responsible for, and since when.
     std::map<ServiceId, TimePoint> m_responsibleSince;
     /// VMs that did not respond, although their heartbeats may still arrive.
--- a/src/gateway/slot_client_groups.cpp
+++ b/src/gateway/slot_client_groups.cpp
@@ -30,14 +30,15 @@
     return groupName(service, XXH3_64bits(name.data(), name.size()) % groups);
 }
 
-auto SlotClient::pickGroup(const SlotRequest &request) -> ServiceId
+auto SlotClient::groupsOf(const ServiceId &service) const -> std::vector<ServiceId>
 {
-    if (!request.owner.empty()) {
-        return groupOf(request.service, request.owner);
-    }
-    const auto count = m_groupCounts.find(request.service);
+    const auto count = m_groupCounts.find(service);
     const auto groups = count == m_groupCounts.end() ? std::size_t{1} : count->second;
-    return groupName(request.service, m_random() % groups);
+    auto result = std::vector<ServiceId>{};
+    for (std::size_t i = 0; i < groups; ++i) {
+        result.push_back(groupName(service, i));
+    }
+    return result;
 }
 
 auto SlotClient::setServers(const ServerRegistry &registry,
@@ -55,8 +56,11 @@
     }
     auto groups = std::map<ServiceId, std::vector<BrokeredServer>>{};
     for (const auto &[service, count] : m_groupCounts) {
-        for (std::size_t i = 0; i < count; ++i) {
-            groups[groupName(service, i)];
+        for (const auto &group : groupsOf(service)) {
+            groups[group];
+            if (count > 1) {
+                m_dividedGroups.insert(group);
+            }
         }
     }
     for (const auto &[id, server] : registry.servers()) {
@@ -100,6 +104,19 @@
     return raised;
 }
 
+// Returns the VM that allocates the slots of a group, excluding VMs that did not respond recently.
+// Liveness alone is not enough: when packets are lost in one direction, heartbeats of a VM arrive
+// here although it does not receive requests of this VM.
+auto SlotClient::findResponsibleVm(const ServiceId &group, TimePoint now) -> VmId
+{
+    std::erase_if(m_avoidedUntil, [&](const auto &item) { return item.second <= now; });
+    auto avoided = std::set<VmId>{};
+    for (const auto &[vm, until] : m_avoidedUntil) {
+        avoided.insert(vm);
+    }
+    return m_view.responsibleVm(group.value(), now, avoided);
+}
+
 // Other VMs ask this one for slots of further groups while they get no response from the VM that is
 // responsible. Several VMs may then grant slots of one server; those of cold servers are left to
 // the responsible one.
--- a/src/gateway/unconfirmed_releases.cpp
+++ b/src/gateway/unconfirmed_releases.cpp
@@ -8,13 +8,14 @@
 
 auto UnconfirmedReleases::add(const AddressedRelease &sent, TimePoint now) -> void
 {
-    m_releases[{sent.release.ticket, sent.to}] = {.release = sent.release,
-                                                  .repeatAt = now + m_options.firstRepeatAfter};
+    m_releases[{sent.release.ticket, sent.to}] = {
+        .release = sent.release, .group = sent.group, .repeatAt = now + m_options.firstRepeatAfter};
 }
 
-auto UnconfirmedReleases::confirm(const VmId &from, std::uint64_t ticket) -> void
+auto UnconfirmedReleases::confirm(const VmId &from, std::uint64_t ticket) -> ServiceId
 {
-    m_releases.erase({ticket, from});
+    const auto confirmed = m_releases.extract({ticket, from});
+    return confirmed.empty() ? ServiceId() : confirmed.mapped().group;
 }
 
 auto UnconfirmedReleases::takeDue(TimePoint now) -> std::vector<AddressedRelease>
@@ -25,7 +26,7 @@
     auto due = std::vector<AddressedRelease>{};
     for (auto &[id, entry] : m_releases) {
         if (now >= entry.repeatAt) {
-            due.push_back({.to = id.second, .release = entry.release});
+            due.push_back({.to = id.second, .release = entry.release, .group = entry.group});
             entry.repeats += 1;
             entry.repeatAt = now + m_options.firstRepeatAfter * (1U << entry.repeats);
         }
--- a/src/gateway/unconfirmed_releases.h
+++ b/src/gateway/unconfirmed_releases.h
@@ -34,6 +34,7 @@
 {
     VmId to;
     SlotRelease release;
+    ServiceId group; ///< in which the ticket asked for any server; empty if for a key's owner
 
     auto operator==(const AddressedRelease &) const -> bool = default;
 };
@@ -47,7 +48,8 @@
     /// Adds a release that was sent at @p now.
     auto add(const AddressedRelease &sent, TimePoint now) -> void;
     /// Removes a release that @p from has received.
-    auto confirm(const VmId &from, std::uint64_t ticket) -> void;
+    /// @return its group; empty if it has none or was removed before
+    auto confirm(const VmId &from, std::uint64_t ticket) -> ServiceId;
     /// Returns the releases that are to be sent again at @p now.
     [[nodiscard]] auto takeDue(TimePoint now) -> std::vector<AddressedRelease>;
     /// Returns the number of unconfirmed releases.
@@ -60,6 +62,7 @@
     struct Entry
     {
         SlotRelease release;
+        ServiceId group;
         TimePoint repeatAt;
         std::uint32_t repeats = 0;
     };
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -122,6 +122,14 @@
         registry, "figlanding_server_running_requests", "Requests that run on a backend server.")};
     MetricCache<prometheus::Gauge> unservedKeys{registerGaugeFamily(
         registry, "figlanding_unserved_keys", "Keys without a live owner, by what they wait for.")};
+    MetricCache<prometheus::Counter> groupChoices{
+        registerCounterFamily(registry, "figlanding_group_choices_total",
+                              "Choices and moves among the server groups of a service, by kind.")};
+    MetricCache<prometheus::Gauge> groupRoom{
+        registerGaugeFamily(registry, "figlanding_group_room",
+                            "Free slots and waiting requests of a server group, as last told.")};
+    MetricCache<prometheus::Gauge> groupRoomAge{registerGaugeFamily(
+        registry, "figlanding_group_room_age_seconds", "Time since a server group told its room.")};
     GaugeFamily &vmInfo =
         registerGaugeFamily(registry, "figlanding_vm_info", "Always 1; names the VM.");
     prometheus::Gauge &viewAge = registerGaugeFamily(registry, "figlanding_view_age_seconds",
@@ -200,6 +208,23 @@
     m_impl->unservedKeys.get(wait, {{"wait", wait}}).Set(static_cast<double>(keys));
 }
 
+auto Metrics::countGroupChoices(const std::string &kind, std::uint64_t choices) -> void
+{
+    m_impl->groupChoices.get(kind, {{"kind", kind}}).Increment(static_cast<double>(choices));
+}
+
+auto Metrics::setGroupRoom(const ServiceId &group, const GroupRoom &room, Duration age) -> void
+{
+    const auto set = [&](const std::string &kind, double value) {
+        m_impl->groupRoom
+            .get(group.value() + ' ' + kind, {{"group", group.value()}, {"kind", kind}})
+            .Set(value);
+    };
+    set("free", room.freeSlots);
+    set("waiting", room.waiting);
+    m_impl->groupRoomAge.get(group.value(), {{"group", group.value()}}).Set(inSeconds(age));
+}
+
 auto Metrics::countRetry(const std::string &cause) -> void
 {
     m_impl->retries.get(cause, {{"cause", cause}}).Increment();
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/gateway/slot_types.h"
 #include "figlanding/http_message.h"
 #include "figlanding/names.h"
 #include "figlanding/refusal.h"
@@ -57,6 +58,12 @@
     /// Sets the number of keys without a live owner, as this VM knows it as the key controller.
     /// @param wait what they wait for: "store", "release", "lease", "candidate" or "record"
     auto setUnservedKeys(const std::string &wait, std::size_t keys) -> void;
+    /// Counts how requests chose among the server groups of a service.
+    /// @param kind "informed", "uninformed", "moved-waiting" or "moved-refused"
+    auto countGroupChoices(const std::string &kind, std::uint64_t choices) -> void;
+    /// Sets what this VM knows of a server group.
+    /// @param age time since the group's broker told it
+    auto setGroupRoom(const ServiceId &group, const GroupRoom &room, Duration age) -> void;
     /// Counts a second or later attempt at a request.
     /// @param cause reason for the retry, such as "not-run" or "hedge"
     auto countRetry(const std::string &cause) -> void;
