--- a/src/gateway/slot_log.cpp
+++ b/src/gateway/slot_log.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr seconds reportInterval{1};
+
 auto toMs(Duration duration) -> std::int64_t
 {
     return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -53,8 +55,12 @@
               {"process", m_process}});
 }
 
-auto SlotLog::addDecisions(SlotClient &slots) -> void
+auto SlotLog::reportDecisions(SlotClient &slots, TimePoint now) -> void
 {
+    if (now - m_reportedAt < reportInterval) {
+        return;
+    }
+    m_reportedAt = now;
     const auto sums = slots.takeStatistics();
     m_metrics.addSlotWaits(sums.expectedWait, sums.actualWait);
     m_metrics.addRest(sums.rest);
--- a/src/gateway/slot_log.h
+++ b/src/gateway/slot_log.h
@@ -24,13 +24,15 @@
     auto add(const TicketConflict &conflict) -> void;
     /// Adds a grant of a server that runs another service than the request's.
     auto addOtherService(const RequestRecord &record, const ServerEntry &server) -> void;
-    /// Counts what the brokers of this VM decided, and adds a line if there was anything.
-    /// @param slots takes the sums of the decisions
-    auto addDecisions(SlotClient &slots) -> void;
+    /// Counts what the brokers of this VM decided, once per second, and adds a line "slots" if
+    /// there was anything.
+    /// @param slots gives the sums of the decisions away
+    auto reportDecisions(SlotClient &slots, TimePoint now) -> void;
 
 private:
     Metrics &m_metrics;
     std::string m_process;
+    TimePoint m_reportedAt;
 };
 
 } // namespace figlanding
