--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -53,7 +53,8 @@
     {
         return m_activeGrants.size();
     }
-    /// Returns the average service time of each server at its usual speed. Key rebalancing uses it.
+    /// Returns the average service time of each server, slow phases included. Key rebalancing uses
+    /// it: servers also state that they are slow if their machine always is.
     [[nodiscard]] auto serviceTimes() const -> std::map<BackendServerId, milliseconds>;
 
     /// Returns the limits that servers stated in recent responses to requests of this broker.
--- a/src/core/gateway/slot_broker_servers.cpp
+++ b/src/core/gateway/slot_broker_servers.cpp
@@ -232,8 +232,8 @@
     auto result = std::map<BackendServerId, milliseconds>{};
     for (const auto &[service, group] : m_groups) {
         for (const auto &[id, server] : group.servers) {
-            if (server.normalizedMs > 0.0) {
-                result.emplace(id, milliseconds(std::llround(server.normalizedMs)));
+            if (server.observedMs > 0.0) {
+                result.emplace(id, milliseconds(std::llround(server.observedMs)));
             }
         }
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/fleet_link.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/key_controller_runner.h"
+#include "gateway/key_plan_log.h"
 #include "gateway/request_log.h"
 #include "gateway/request_path.h"
 #include "gateway/slot_log.h"
@@ -60,6 +61,7 @@
         , m_requestLog(m_metrics)
         , m_slotLog(m_metrics, m_incarnation)
         , m_unservedLog(m_metrics)
+        , m_keyPlanLog(m_metrics)
         , m_storeClient(loop, {.tcpUserTimeout = storeTcpUserTimeout})
         , m_serverClient(
               loop,
@@ -501,17 +503,14 @@
         const auto limits = m_slots.limits(m_loop.now());
         auto inputs = ControllerInputs{.registry = m_storeView.registry(),
                                        .keyedServices = {},
-                                       .loads = m_keyLoads.loads(),
-                                       .serviceTimes = m_keyLoads.serviceTimes(),
+                                       .loads = m_keyLoads.expectedLoads(),
+                                       .serviceTimes = m_keyLoads.expectedServiceTimes(),
                                        .limits = &limits};
         if (m_storeView.state() && m_storeView.serversKnown()) {
-            for (const auto &service : m_storeView.state()->state().services) {
-                if (service.keyed) {
-                    inputs.keyedServices.push_back(service.id);
-                }
-            }
+            inputs.keyedServices = keyedServicesOf(m_storeView.state()->state());
         }
         m_controllerRunner.tick(inputs);
+        m_keyPlanLog.report(m_controllerRunner.lastPlans());
         if (m_unservedLog.isDue(m_loop.now())) {
             m_unservedLog.report(m_controllerRunner.unservedRanges(), m_loop.now());
         }
@@ -547,6 +546,7 @@
     RequestLog m_requestLog;
     SlotLog m_slotLog;
     UnservedLog m_unservedLog;
+    KeyPlanLog m_keyPlanLog;
     HttpClient m_storeClient;
     HttpClient m_serverClient;
     HttpClient m_commandClient;
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -122,6 +122,9 @@
         registry, "figlanding_server_running_requests", "Requests that run on a backend server.")};
     MetricCache<prometheus::Gauge> unservedKeys{registerGaugeFamily(
         registry, "figlanding_unserved_keys", "Keys without a live owner, by what they wait for.")};
+    MetricCache<prometheus::Gauge> keyWaits{registerGaugeFamily(
+        registry, "figlanding_expected_key_wait_seconds",
+        "Expected wait for a slot of a keyed service, by placement of its keys.")};
     GaugeFamily &vmInfo =
         registerGaugeFamily(registry, "figlanding_vm_info", "Always 1; names the VM.");
     prometheus::Gauge &viewAge = registerGaugeFamily(registry, "figlanding_view_age_seconds",
@@ -200,6 +203,15 @@
     m_impl->unservedKeys.get(wait, {{"wait", wait}}).Set(static_cast<double>(keys));
 }
 
+auto Metrics::setKeyWaits(const std::string &service, double meanMs, double longestMs) -> void
+{
+    constexpr auto msPerSecond = 1000.0;
+    m_impl->keyWaits.get(service + "/mean", {{"service", service}, {"of", "mean"}})
+        .Set(meanMs / msPerSecond);
+    m_impl->keyWaits.get(service + "/longest", {{"service", service}, {"of", "longest"}})
+        .Set(longestMs / msPerSecond);
+}
+
 auto Metrics::countRetry(const std::string &cause) -> void
 {
     m_impl->retries.get(cause, {{"cause", cause}}).Increment();
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -57,6 +57,10 @@
     /// Sets the number of keys without a live owner, as this VM knows it as the key controller.
     /// @param wait what they wait for: "store", "release", "lease", "candidate" or "record"
     auto setUnservedKeys(const std::string &wait, std::size_t keys) -> void;
+    /// Sets the waits for a slot that this VM, as the key controller, expects for a keyed service.
+    /// @param meanMs over all requests, in milliseconds
+    /// @param longestMs at the server with the longest wait, in milliseconds
+    auto setKeyWaits(const std::string &service, double meanMs, double longestMs) -> void;
     /// Counts a second or later attempt at a request.
     /// @param cause reason for the retry, such as "not-run" or "hedge"
     auto countRetry(const std::string &cause) -> void;
