--- a/src/gateway/rollout_runner.h
+++ b/src/gateway/rollout_runner.h
@@ -72,7 +72,14 @@
         if (order.offset <= known.order.offset && !known.order.service.empty()) {
             return;
         }
-        known = {.order = order, .seenAt = m_loop.now(), .isNew = isNew};
+        // An order that is repeated meanwhile does not prolong the roll-out.
+        const auto *record = findRecord(order.service);
+        if (record != nullptr && isRunning(*record) && record->version == order.version
+            && known.order.version == order.version) {
+            known.order = order;
+        } else {
+            known = {.order = order, .seenAt = m_loop.now(), .isNew = isNew};
+        }
         m_log.addOrder(order, enabled());
         updateRules();
     }
@@ -142,6 +149,10 @@
     /// Updates the rules and, as the controller, carries out one step of each roll-out.
     auto tick() -> void
     {
+        if (m_loop.now() - m_tickedAt < minTickInterval) {
+            return;
+        }
+        m_tickedAt = m_loop.now();
         updateRules();
         m_log.follow(m_view.rollouts());
         if (!enabled() || !m_handlers.isController()) {
@@ -156,6 +167,9 @@
     }
 
 private:
+    /// The key controller's progress calls tick() more often than any step is due.
+    static constexpr milliseconds minTickInterval{50};
+
     struct KnownOrder
     {
         RolloutOrder order;
@@ -329,7 +343,6 @@
                            m_handlers.onAppended({.offset = offset.value(),
                                                   .key = encoded.key,
                                                   .value = encoded.value});
-                           tick();
                        });
     }
 
@@ -348,6 +361,7 @@
     std::map<ServiceId, std::uint64_t> m_evidenceRevisions;
     std::map<ServiceId, RolloutController> m_controllers; ///< empty unless this VM holds the claim
     bool m_appending = false;
+    TimePoint m_tickedAt;
 };
 
 } // namespace figlanding
--- a/src/gateway/slot_client_pools.cpp
+++ b/src/gateway/slot_client_pools.cpp
@@ -33,10 +33,12 @@
         }
     }
     for (const auto number : stranded) {
-        auto entry = m_tickets.extract(number);
-        if (entry.empty()) {
+        // Moving another request may have brought about a decision on this one.
+        const auto found = m_tickets.find(number);
+        if (found == m_tickets.end() || found->second.granted) {
             continue;
         }
+        auto entry = m_tickets.extract(found);
         auto &ticket = entry.mapped();
         if (ticket.decidedLocally) {
             m_fallbackBroker.release(ticket.request.id, {.end = SlotEnd::Abandoned}, now);
