--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -48,31 +48,14 @@
 auto SlotClient::acquire(SlotRequest request, TimePoint now) -> void
 {
     auto service = request.service;
-    request.service = pickGroup(request, now);
-    request.zone = m_options.zone;
     const auto requestNumber = request.id.number;
-    start({.request = std::move(request),
-           .service = std::move(service),
-           .requestNumber = requestNumber},
-          now);
-}
-
-auto SlotClient::start(Ticket ticket, TimePoint now) -> void
-{
-    const auto number = m_nextTicket++;
-    ticket.request.id = {.vm = m_options.self, .process = m_options.process, .number = number};
-    ticket.responsibleVm = findResponsibleVm(ticket.request.service, now);
-    ticket.vmsTried = 1;
-    ticket.lastResponseAt = now;
-    m_ticketNumbers[ticket.requestNumber] = number;
-    m_groupChoice.onSent(ticket.groupOfAnyServer());
-    auto &started = m_tickets[number];
-    started = std::move(ticket);
-    const auto isOwn = started.responsibleVm == m_options.self;
-    sendAcquire(number, started, now);
-    if (isOwn) {
-        moveIfEarlier(number, now);
-    }
+    const auto pool = pickPool(request);
+    request.zone = m_options.zone;
+    startIn(pool,
+            {.request = std::move(request),
+             .service = std::move(service),
+             .requestNumber = requestNumber},
+            now);
 }
 
 auto SlotClient::sendAcquire(std::uint64_t number, Ticket &ticket, TimePoint now) -> void
@@ -150,6 +133,9 @@
     const auto entry = m_tickets.extract(number.mapped());
     const auto &ticket = entry.mapped();
     const auto &id = ticket.request.id;
+    if (ticket.granted && m_handlers.onResult) {
+        m_handlers.onResult(ticket.request.route, ticket.server, result);
+    }
     if (ticket.decidedLocally) {
         m_fallbackBroker.release(id, result, now);
         deliver(m_fallbackBroker, now);
@@ -174,7 +160,7 @@
         if (decision.id.vm == m_options.self) {
             const auto refused = std::holds_alternative<SlotRefusal>(decision.outcome);
             if (!refused || !retryElsewhere(decision.id.number, now)) {
-                resolveTicket(decision.id.number, decision.outcome);
+                resolveTicket(decision.id.number, decision.outcome, now);
             }
             continue;
         }
@@ -193,18 +179,25 @@
 }
 
 auto SlotClient::resolveTicket(std::uint64_t number,
-                               const std::variant<SlotGrant, SlotRefusal> &outcome) -> void
+                               const std::variant<SlotGrant, SlotRefusal> &outcome, TimePoint now)
+    -> void
 {
     const auto found = m_tickets.find(number);
     if (found == m_tickets.end() || found->second.granted) {
         return;
     }
     const auto requestNumber = found->second.requestNumber;
-    if (std::holds_alternative<SlotGrant>(outcome)) {
+    if (const auto *grant = std::get_if<SlotGrant>(&outcome)) {
         found->second.granted = true;
+        found->second.server = grant->server;
     } else {
         m_ticketNumbers.erase(requestNumber);
-        m_tickets.erase(found);
+        auto ticket = std::move(m_tickets.extract(found).mapped());
+        if (const auto pool = fallbackPool(m_versionRules, ticket.service, ticket.pool)) {
+            ticket.wasRefused = false;
+            startIn(*pool, std::move(ticket), now);
+            return;
+        }
     }
     m_handlers.onDecision(requestNumber, outcome);
 }
@@ -328,16 +321,17 @@
     m_avoidedUntil.erase(from);
     onRoom(found->second.groupOfAnyServer(), response.room, now);
     if (response.state == SlotState::Granted) {
-        resolveTicket(response.ticket, SlotGrant{response.server});
+        resolveTicket(response.ticket, SlotGrant{response.server}, now);
     } else if (response.state == SlotState::Queued) {
         moveIfEarlier(response.ticket, now);
     } else if (response.state == SlotState::Refused && !retryElsewhere(response.ticket, now)) {
-        resolveTicket(response.ticket, SlotRefusal{response.retryAfter});
+        resolveTicket(response.ticket, SlotRefusal{response.retryAfter}, now);
     }
 }
 
 auto SlotClient::tick(TimePoint now) -> void
 {
+    moveStranded(now);
     updateColdGrants(now);
     m_groupChoice.expire(now);
     // Without the responsible VM, each VM may be one of all that send to a server.
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -5,6 +5,7 @@
 #include "figlanding/gateway/group_choice.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/slot_broker.h"
+#include "figlanding/gateway/version_rules.h"
 #include "gateway/unconfirmed_releases.h"
 
 #include <deque>
@@ -16,8 +17,9 @@
 #include <vector>
 
 /// @file
-/// Acquires server slots for this VM's requests. The servers of a service are split into groups by
-/// hash. One VM is responsible for each group and allocates the slots of its servers to all VMs.
+/// Acquires server slots for this VM's requests. The servers of a service form one pool, or one of
+/// each version while a roll-out divides the requests. The servers of a pool are split into groups
+/// by hash. One VM is responsible for each group and allocates the slots of its servers to all VMs.
 /// This VM does so for the groups it is responsible for.
 
 namespace figlanding {
@@ -85,6 +87,9 @@
         onDecision;
     /// Called for a message that does not agree with its ticket.
     std::function<void(const TicketConflict &)> onConflict;
+    /// Called with the result of each request that held a slot. May be empty.
+    std::function<void(const RouteId &, const ServerIncarnation &, const SlotResult &)> onResult =
+        {};
 };
 
 /// Requests slots for this VM and responds to the slot requests of other VMs.
@@ -98,7 +103,7 @@
     /// @param coldRates requests per second that a cold server of each service can handle
     auto setServers(const ServerRegistry &registry, const std::map<ServiceId, double> &coldRates)
         -> void;
-    /// Returns the number of groups of each service that has more than one. All VMs must use the
+    /// Returns the number of groups of each pool that has more than one. All VMs must use the
     /// same numbers, because a server's group and the VM that allocates its slots depend on them.
     [[nodiscard]] auto groupCounts() const -> std::map<ServiceId, std::size_t>;
     /// Takes over the larger numbers of groups that another VM uses.
@@ -133,6 +138,11 @@
     /// Resends unanswered requests and unconfirmed releases, fails over from a VM that does not
     /// respond to another one, and delivers decisions of the brokers that are due.
     auto tick(TimePoint now) -> void;
+    /// Returns the number of this VM's requests that wait for any server of the pool @p pool, or
+    /// hold a slot of, or wait for, a server that @p isMeant returns true for.
+    [[nodiscard]] auto
+    countTickets(const ServiceId &pool,
+                 const std::function<bool(const BackendServerId &)> &isMeant) const -> std::size_t;
     [[nodiscard]] auto waiting() const -> std::size_t
     {
         return m_broker.waiting();
@@ -168,7 +178,9 @@
     struct Ticket
     {
         SlotRequest request; ///< its service is the name of the group
-        ServiceId service; ///< to which the group belongs
+        ServiceId service;
+        ServiceId pool; ///< to which the group belongs
+        ServerIncarnation server; ///< valid if granted
         std::uint64_t requestNumber = 0; ///< given to acquire()
         std::uint32_t moves = 0; ///< to another group while it waited
         bool wasRefused = false; ///< by another group
@@ -187,9 +199,9 @@
         }
     };
 
-    [[nodiscard]] auto groupOf(const ServiceId &service, const BackendServerId &server) const
+    [[nodiscard]] auto groupOf(const ServiceId &pool, const BackendServerId &server) const
         -> ServiceId;
-    [[nodiscard]] auto groupsOf(const ServiceId &service) const -> std::vector<ServiceId>;
+    [[nodiscard]] auto groupsOf(const ServiceId &pool) const -> std::vector<ServiceId>;
     [[nodiscard]] auto pickGroup(const SlotRequest &request, TimePoint now) -> ServiceId;
     [[nodiscard]] auto roomOf(const ServiceId &group, TimePoint now) const
         -> std::optional<GroupRoom>;
@@ -197,6 +209,11 @@
     auto updateOwnRooms(TimePoint now) -> void;
     auto onRoom(const ServiceId &group, const std::optional<GroupRoom> &room, TimePoint now)
         -> void;
+    [[nodiscard]] auto pickPool(const SlotRequest &request) -> ServiceId;
+    // Requests a slot of any group of a pool.
+    auto startIn(const ServiceId &pool, Ticket ticket, TimePoint now) -> void;
+    // Moves the waiting requests of pools whose servers get nothing more.
+    auto moveStranded(TimePoint now) -> void;
     // Gives a ticket a new number and requests its slot.
     auto start(Ticket ticket, TimePoint now) -> void;
     // Moves a waiting request to another group, if it is served clearly earlier there.
@@ -212,8 +229,8 @@
     auto withdraw(const Ticket &ticket, TimePoint now) -> void;
     auto decideLocally(Ticket &ticket, TimePoint now) -> void;
     auto deliver(SlotBroker &broker, TimePoint now) -> void;
-    auto resolveTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome)
-        -> void;
+    auto resolveTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome,
+                       TimePoint now) -> void;
     auto onAcquire(const FleetMessage &message, const SlotAcquire &acquire, TimePoint now) -> void;
     auto onRelease(const FleetMessage &message, const SlotRelease &release, TimePoint now) -> void;
     auto onResponse(const FleetMessage &message, const SlotResponse &response, TimePoint now)
@@ -228,10 +245,12 @@
     RandomEngine m_random;
     GroupChoice m_groupChoice;
     GroupChoiceCounts m_groupChoiceCounts;
-    std::map<ServiceId, std::size_t> m_groupCounts;
-    std::set<ServiceId> m_dividedGroups; ///< groups of services with several
+    std::set<ServiceId> m_dividedGroups; ///< groups of pools with several
     /// Groups of which this VM was asked for any server. Nobody needs to know the room of others.
     std::set<ServiceId> m_groupsOfAnyServer;
+    VersionRules m_versionRules;
+    std::set<BackendServerId> m_newVersionServers; ///< of versions in a roll-out
+    std::map<ServiceId, std::size_t> m_groupCounts; ///< by pool
     /// Groups that this VM is responsible for, and since when.
     std::map<ServiceId, TimePoint> m_responsibleSince;
     /// VMs that did not respond, although their heartbeats may still arrive.
--- a/src/gateway/slot_client_choice.cpp
+++ b/src/gateway/slot_client_choice.cpp
@@ -36,7 +36,7 @@
     }
     updateOwnRooms(now);
     const auto earlier =
-        m_groupChoice.chooseForWaiting(group, groupsOf(found->second.service), now, m_random);
+        m_groupChoice.chooseForWaiting(group, groupsOf(found->second.pool), now, m_random);
     if (!earlier) {
         return;
     }
@@ -61,7 +61,7 @@
     }
     updateOwnRooms(now);
     const auto other =
-        m_groupChoice.chooseForRefused(group, groupsOf(found->second.service), now, m_random);
+        m_groupChoice.chooseForRefused(group, groupsOf(found->second.pool), now, m_random);
     if (!other) {
         return false;
     }
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/gateway/rollout.h"
 #include "figlanding/gateway/slot_types.h"
 #include "figlanding/http_message.h"
 #include "figlanding/names.h"
@@ -28,6 +29,17 @@
 /// Decision of one request filter.
 enum class FilterOutcome { Passed, Refused };
 
+/// What a VM follows of a service's roll-out.
+struct RolloutMetric
+{
+    ServiceId service;
+    ServerVersion version;
+    RolloutPhase phase = RolloutPhase::Trial;
+    double share = 0.0; ///< fraction of the requests for the version
+
+    auto operator==(const RolloutMetric &) const -> bool = default;
+};
+
 /// Registry of all metrics of the daemon.
 class Metrics
 {
@@ -76,6 +88,8 @@
     /// @param meanMs over all requests, in milliseconds
     /// @param longestMs at the server with the longest wait, in milliseconds
     auto setKeyWaits(const std::string &service, double meanMs, double longestMs) -> void;
+    /// Sets phase and share of a service's roll-out.
+    auto setRollout(const RolloutMetric &rollout) -> void;
     /// Counts a second or later attempt at a request.
     /// @param cause reason for the retry, such as "not-run" or "hedge"
     auto countRetry(const std::string &cause) -> void;
