--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -31,6 +31,17 @@
     listen.finish();
 }
 
+auto readLimits(SettingsReader &root, GatewaySettings &settings) -> void
+{
+    constexpr std::uint64_t bytesPerMb = 1'000'000;
+    constexpr std::uint64_t maxMemoryMb = 1'000'000;
+    constexpr std::uint64_t maxDescriptors = 10'000'000;
+    auto limits = root.section("limits", true);
+    settings.limits.memoryBytes = limits.number("memory_mb", 0, maxMemoryMb, 0) * bytesPerMb;
+    settings.limits.descriptors = limits.number("descriptors", 0, maxDescriptors, 0);
+    limits.finish();
+}
+
 } // namespace
 
 auto parseGatewaySettings(std::string_view text, std::string_view file) -> GatewaySettingsOutcome
@@ -46,6 +57,7 @@
         settings.cpuShare = root.fraction("cpu_share", settings.cpuShare);
         settings.announceInterval = root.span("announce_interval", settings.announceInterval);
         readBounds(root, settings);
+        readLimits(root, settings);
         const auto level = root.choice("log_level", {"debug", "info", "warning", "error"}, "info");
         settings.logLevel = parseLogLevel(level).value_or(LogLevel::Info);
         root.finish();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/names.h"
 #include "figlanding/objects.h"
+#include "figlanding/process_limits.h"
 #include "io/log.h"
 
 #include <optional>
@@ -33,6 +34,8 @@
     double retryRatio = 0.2; ///< retries allowed per request of a service
     double retryReserve = 60.0; ///< retries allowed beyond the ratio, over all VMs
     milliseconds longestLease{10'000}; ///< longest lease that servers accept
+    /// Memory and file descriptors of this process; a value that is 0 is taken from the system.
+    ProcessLimits limits = {};
     LogLevel logLevel = LogLevel::Info;
 
     auto operator==(const GatewaySettings &) const -> bool = default;
--- a/tests/standins/platform_server.cpp
+++ b/tests/standins/platform_server.cpp
@@ -31,7 +31,8 @@
 {
     BOOST_LEAF_ASSIGN(
         m_server,
-        HttpServer::listen(m_loop, {.address = {"127.0.0.1", 0}},
+        HttpServer::listen(m_loop,
+                           {.address = {"127.0.0.1", 0}, .maxBodyBytes = m_options.maxBodyBytes},
                            [this](HttpExchange exchange) { handle(std::move(exchange)); }));
     return {};
 }
@@ -159,6 +160,9 @@
                                              {"x-upstream-signature", "digest"},
                                              {"x-upstream-load", "1,0,2,100"}},
                                  .body = "done " + m_options.id};
+    if (pathOf(request.target).find("/large") != std::string_view::npos) {
+        response.body.assign(m_options.largeResponseBytes, 'a');
+    }
     addTerms(response);
     m_timers.push_back(std::make_unique<Timer>(
         m_loop, [this, exchange = std::move(exchange), response = std::move(response)]() mutable {
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -3,6 +3,7 @@
 #include "figlanding/gateway/key_ownership.h"
 #include "io/http_server.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -28,6 +29,9 @@
     std::string retryAfter; ///< seconds, in the responses with which it sheds; empty: none
     bool leaving = false; ///< says in its responses that it is leaving
     std::string limit; ///< requests per second that it states in its responses; empty: none
+    std::size_t maxBodyBytes = 1024UL * 1024; ///< of requests; a larger one gets status 413
+    /// Length of the body that a request for a path with "/large" gets.
+    std::size_t largeResponseBytes = 0;
 };
 
 /// Runs requests on a loopback port and records them.
