--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "daemon/admin_api.h"
+#include "daemon/caller_server_options.h"
 #include "daemon/controller_driver.h"
 #include "daemon/dispatcher.h"
 #include "daemon/entry_router.h"
@@ -15,6 +16,7 @@
 #include "figlanding/freshness.h"
 #include "io/log.h"
 #include "io/metrics.h"
+#include "io/process_limits.h"
 #include "io/random_bytes.h"
 
 namespace figlanding {
@@ -38,6 +40,7 @@
     std::string incarnation = randomHex(incarnationBytes);
     TimePoint startedAt;
     Metrics metrics;
+    HeldBytes heldBytes{divide(systemLimits()).heldBytes};
     HttpClient platformClient;
     HttpClient serverClient;
     HttpLogService logService;
@@ -94,7 +97,7 @@
     , startedAt(loop.now())
     , metrics(settings.vm)
     , platformClient(loop, {})
-    , serverClient(loop, {})
+    , serverClient(loop, {.heldBytes = &heldBytes})
     , logService(platformClient, settings.log.address, settings.log.timeout)
     , freshness({.self = settings.vm,
                  .incarnation = incarnation,
@@ -198,11 +201,7 @@
     createComponents();
     BOOST_LEAF_ASSIGN(
         callerServer,
-        HttpServer::listen(loop,
-                           {.address = settings.listen.callers,
-                            .maxHeaderBytes = settings.limits.maxHeaderBytes,
-                            .maxBodyBytes = settings.limits.maxBodyBytes,
-                            .maxConnections = settings.limits.maxConnections},
+        HttpServer::listen(loop, callerServerOptions(settings, heldBytes),
                            [this](HttpExchange exchange) { router->handle(std::move(exchange)); }));
     BOOST_LEAF_ASSIGN(
         adminServer,
@@ -360,6 +359,7 @@
     metrics.setLogOffset(follower.state().offset);
     metrics.setIsController(controller->controller().isController(follower.state()));
     metrics.setPendingRequests(router->pending());
+    metrics.setHeldBytes(heldBytes);
 }
 
 auto Daemon::Impl::adminView() -> AdminView
--- a/src/gateway/active_request.h
+++ b/src/gateway/active_request.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 /// @file
@@ -26,6 +27,7 @@
 struct ActiveRequest
 {
     std::unique_ptr<HttpExchange> exchange; ///< null once the caller has disconnected
+    std::shared_ptr<const std::string> body; ///< of the caller's request; shared by the attempts
     CallerRequest caller;
     std::shared_ptr<const DesiredStateIndex> state; ///< owns the object that route points to
     const DesiredRoute *route = nullptr;
@@ -55,4 +57,10 @@
     return service != nullptr && service->keyed;
 }
 
+/// Returns the time until the request's deadline.
+[[nodiscard]] inline auto timeLeftOf(const ActiveRequest &active, TimePoint now) -> milliseconds
+{
+    return std::chrono::duration_cast<milliseconds>(active.deadline - now);
+}
+
 } // namespace figlanding
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,12 +8,14 @@
 #include "gateway/fleet_link.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/key_controller_runner.h"
+#include "gateway/listeners.h"
 #include "gateway/request_log.h"
 #include "gateway/request_path.h"
 #include "gateway/slot_log.h"
 #include "gateway/store_view.h"
 #include "gateway/topic_follower.h"
 #include "gateway/unserved_log.h"
+#include "io/process_limits.h"
 #include "io/random_bytes.h"
 
 #include <array>
@@ -55,6 +57,8 @@
         : m_loop(loop)
         , m_startedAt(loop.now())
         , m_settings(std::move(settings))
+        , m_budget(divide(knownLimits(m_settings.limits)))
+        , m_heldBytes(m_budget.heldBytes)
         , m_incarnation(randomHex(incarnationBytes))
         , m_metrics(m_settings.vm)
         , m_requestLog(m_metrics)
@@ -63,7 +67,9 @@
         , m_storeClient(loop, {.tcpUserTimeout = storeTcpUserTimeout})
         , m_serverClient(
               loop,
-              {.tcpUserTimeout = serverTcpUserTimeout,
+              {.maxConnections = m_budget.serverConnections,
+               .heldBytes = &m_heldBytes,
+               .tcpUserTimeout = serverTcpUserTimeout,
                .acceptsCloseDelimited = true,
                .onUnexpectedInput =
                    [this](const auto &server) { m_requestLog.addUnexpectedInput(server); }})
@@ -169,24 +175,13 @@
                 m_loop,
                 {.self = m_settings.vm, .incarnation = m_incarnation, .address = m_settings.fleet},
                 m_view, [this](const auto &delivery) { onMessage(delivery); }));
-        BOOST_LEAF_ASSIGN(m_callerServer,
-                          HttpServer::listen(m_loop,
-                                             {.address = m_settings.callers,
-                                              .maxBodyBytes = maxBodyBytes,
-                                              .maxConnections = maxCallerConnections},
-                                             [this](HttpExchange exchange) {
-                                                 m_path.handle(std::move(exchange));
-                                             }));
-        BOOST_LEAF_ASSIGN(m_readinessServer,
-                          HttpServer::listen(m_loop, {.address = m_settings.readiness},
-                                             [this](HttpExchange exchange) {
-                                                 exchange.respond({.status = ready() ? 200 : 503});
-                                             }));
-        BOOST_LEAF_ASSIGN(m_adminServer,
-                          HttpServer::listen(m_loop, {.address = m_settings.admin},
-                                             [this](HttpExchange exchange) {
-                                                 exchange.respond(m_requestLog.metricsResponse());
-                                             }));
+        BOOST_LEAF_ASSIGN(
+            m_listeners,
+            openListeners<typename Platform::Protocol>(
+                m_loop, m_settings, m_budget, m_heldBytes,
+                {.onRequest = [this](HttpExchange exchange) { m_path.handle(std::move(exchange)); },
+                 .ready = [this] { return ready(); },
+                 .metrics = [this] { return metricsResponse(); }}));
         announceSelf();
         m_operatorFollower.start();
         m_serverFollower.start();
@@ -212,14 +207,12 @@
         m_leavingSince = m_loop.now();
         m_view.setLeaving();
         m_controllerRunner.leave();
-        m_callerServer->closeAfterResponses();
+        m_listeners.callers->closeAfterResponses();
         sendHeartbeat();
     }
 
 private:
     static constexpr std::size_t incarnationBytes = 8;
-    static constexpr std::size_t maxBodyBytes = std::size_t{64} * 1024 * 1024;
-    static constexpr unsigned maxCallerConnections = 3000;
     static constexpr milliseconds storeTcpUserTimeout{1000};
     static constexpr milliseconds serverTcpUserTimeout{600};
     static constexpr milliseconds tickInterval{25};
@@ -313,6 +306,13 @@
                 [this](const std::string &topic) { return m_view.rankOf(topic, m_loop.now()); }};
     }
 
+    auto metricsResponse() -> HttpResponse
+    {
+        m_metrics.setHeldBytes(m_heldBytes);
+        m_metrics.setStalledConnections(m_listeners.callers->stalledConnections());
+        return m_requestLog.metricsResponse();
+    }
+
     auto announceSelf() -> void
     {
         auto record = encodeFleetRecord(MemberRecord{
@@ -522,14 +522,14 @@
         const auto elapsed = now - m_leavingSince;
         const auto timeToServe = m_settings.gracePeriod - shutdownMargin;
         if (elapsed > loadBalancerDelay && !std::exchange(m_drained, true)) {
-            m_callerServer->drain();
+            m_listeners.callers->drain();
             m_busyAt = now;
             m_path.stopAt(m_leavingSince + timeToServe);
         }
         if (elapsed > timeToServe) {
             m_path.endAll();
         }
-        if (!m_drained || m_path.pending() > 0 || m_callerServer->pending() > 0) {
+        if (!m_drained || m_path.pending() > 0 || m_listeners.callers->pending() > 0) {
             m_busyAt = now;
         }
         const auto done = m_drained && now - m_busyAt >= lastArrivalsTime;
@@ -542,6 +542,8 @@
     EventLoop &m_loop;
     TimePoint m_startedAt;
     GatewaySettings m_settings;
+    ProcessBudget m_budget;
+    HeldBytes m_heldBytes;
     std::string m_incarnation;
     Metrics m_metrics;
     RequestLog m_requestLog;
@@ -565,9 +567,7 @@
     Follower m_operatorFollower;
     Follower m_serverFollower;
     Follower m_fleetFollower;
-    std::unique_ptr<HttpServer> m_callerServer;
-    std::unique_ptr<HttpServer> m_readinessServer;
-    std::unique_ptr<HttpServer> m_adminServer;
+    Listeners m_listeners;
     KeyLoads m_keyLoads;
     TimePoint m_queueLoggedAt;
     bool m_announced = false;
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -91,6 +91,7 @@
         auto &active = m_requests[number];
         active.exchange = std::make_unique<HttpExchange>(std::move(exchange));
         active.caller = Protocol::readRequest(active.exchange->request());
+        active.body = std::make_shared<const std::string>(active.exchange->takeBody());
         active.record.requestId = active.caller.id;
         active.receivedAt = m_loop.now();
         active.deadline = active.receivedAt;
@@ -306,7 +307,8 @@
              .connectTimeout = m_options.connectTimeout,
              .freshConnection = freshConnection,
              .maxIdleAge = m_options.maxIdleAge,
-             .correlationHeader = Protocol::idHeader(active.caller.id)},
+             .correlationHeader = Protocol::idHeader(active.caller.id),
+             .sharedBody = active.body},
             [this, number, attempt](HttpOutcome outcome) {
                 const auto found = m_requests.find(number);
                 if (found != m_requests.end() && found->second.attempts == attempt) {
@@ -315,11 +317,6 @@
             });
     }
 
-    [[nodiscard]] static auto timeLeftOf(const ActiveRequest &active, TimePoint now) -> milliseconds
-    {
-        return std::chrono::duration_cast<milliseconds>(active.deadline - now);
-    }
-
     // Returns whether the request's key got another owner while the request waited for a slot.
     [[nodiscard]] auto keyHasMoved(const ActiveRequest &active, const BackendServerId &server) const
         -> bool
--- a/src/io/close_delimited_response.cpp
+++ b/src/io/close_delimited_response.cpp
@@ -17,6 +17,7 @@
 {
     int fd = -1;
     std::string text;
+    HeldShare share;
     bool written = false; ///< all of it
 };
 
@@ -47,11 +48,12 @@
 
 } // namespace
 
-auto makeCloseDelimitedResponse(MHD_Connection *handle, std::string body) -> MHD_Response *
+auto makeCloseDelimitedResponse(MHD_Connection *handle, std::string body, HeldShare share)
+    -> MHD_Response *
 {
     const auto *info = MHD_get_connection_info(handle, MHD_CONNECTION_INFO_CONNECTION_FD);
-    auto state = std::make_unique<CloseDelimitedBody>(
-        CloseDelimitedBody{.fd = info->connect_fd, .text = std::move(body)});
+    auto state = std::make_unique<CloseDelimitedBody>(CloseDelimitedBody{
+        .fd = info->connect_fd, .text = std::move(body), .share = std::move(share)});
     auto *response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, blockBytes, &readBlock,
                                                        state.get(), &freeBody);
     if (response == nullptr) {
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -122,6 +122,8 @@
     curl_multi_setopt(multi, CURLMOPT_PIPELINING, static_cast<long>(CURLPIPE_NOTHING));
     curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       static_cast<long>(options.maxConnectionsPerHost));
+    curl_multi_setopt(multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                      static_cast<long>(options.maxConnections));
     curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, static_cast<long>(options.maxIdleConnections));
 }
 
@@ -195,7 +197,7 @@
 auto HttpClient::Impl::releaseTransfer(std::unique_ptr<HttpTransfer> transfer) -> void
 {
     (void)transfer->takeCallback();
-    transfer->discardResponse();
+    transfer->discardMessages();
     if (idle.size() < maxIdleTransfers) {
         idle.push_back(std::move(transfer));
     }
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/clock.h"
 #include "figlanding/error.h"
+#include "figlanding/held_bytes.h"
 #include "figlanding/http_message.h"
 #include "figlanding/objects.h"
 #include "figlanding/verdict.h"
@@ -48,6 +49,9 @@
     /// Returns whether the head of a final response can be one to this request, for protocols whose
     /// responses carry no id. Others fail the call as above. Must not use the client; may be empty.
     std::function<bool(const HttpResponse &)> canAnswer = {};
+    /// Sent in place of the request's own body; shared, so that no attempt needs a copy. May be
+    /// null.
+    std::shared_ptr<const std::string> sharedBody = {};
 };
 
 /// Result of one call.
@@ -75,6 +79,7 @@
 {
     std::size_t maxConnectionsPerHost = 120;
     std::size_t maxIdleConnections = 1024;
+    std::size_t maxConnections = 0; ///< to all hosts; further calls wait for one; 0: no limit
     /// Limit for all header and trailer lines of a call, interim responses included; more fails the
     /// call. libcurl limits a single line to 100 KiB before this limit sees it. Servers that answer
     /// properly stay within 16 KiB, as the heads of requests do.
@@ -84,6 +89,9 @@
     /// Limit for the bodies of all unfinished responses together, shared as ResponseBudget states.
     /// The smallest VMs have 160 MB.
     std::size_t maxBufferedBytes = std::size_t{48} * 1024 * 1024;
+    /// Account that the bodies of unfinished responses are charged to in addition; null: none. Must
+    /// outlive the client.
+    HeldBytes *heldBytes = nullptr;
     milliseconds tcpUserTimeout{5000}; ///< TCP_USER_TIMEOUT: closes if data stays unacknowledged
     /// Accepts responses whose body is delimited by the end of the connection. A connection reset
     /// still fails the call.
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,17 +1,12 @@
 #include "io/http_server.h"
 
-#include "io/http_server_request.h"
-#include "io/socket.h"
+#include "io/http_server_impl.h"
 
 #include <poll.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 
-#include <array>
 #include <exception>
-#include <unordered_map>
 #include <utility>
-#include <vector>
 
 namespace figlanding {
 
@@ -23,67 +18,11 @@
 /// A rejected request may send this multiple of maxBodyBytes before its connection is closed.
 constexpr std::size_t discardFactor = 4;
 constexpr int statusInternal = 500;
+/// A shorter response fits into the buffers of a connection, or is read soon after them.
+constexpr std::size_t longResponseBytes = 64UL * 1024;
 
 } // namespace
 
-struct HttpServer::Impl
-{
-    Impl(EventLoop &eventLoop, HttpServerOptions serverOptions, Handler requestHandler)
-        : loop(eventLoop)
-        , options(std::move(serverOptions))
-        , handler(std::move(requestHandler))
-        , timer(eventLoop, [this] { runDaemon(); })
-    { }
-    Impl(const Impl &) = delete;
-    auto operator=(const Impl &) -> Impl & = delete;
-    ~Impl();
-
-    auto start() -> Result<void>;
-    auto runDaemon() -> void;
-    auto scheduleRun() -> void;
-    auto drain() -> void;
-    auto acceptBacklog() -> void;
-
-    auto receive(ReceivedRequest &request, const char *data, std::size_t *size) -> MHD_Result;
-    auto begin(ReceivedRequest &request) -> MHD_Result;
-    auto dispatch(ReceivedRequest &request) -> MHD_Result;
-    auto callHandler(ReceivedRequest &request) -> void;
-    auto suspend(ReceivedRequest &request) -> void;
-    auto sendStoredResponse(ReceivedRequest &request) -> MHD_Result;
-    auto abandon(ReceivedRequest &request) -> void;
-    auto handleHangUps() -> void;
-    auto onHangUp(std::uint64_t connectionId) -> void;
-
-    static auto createRequest(void *self, const char *uri, MHD_Connection *handle) -> void *;
-    static auto onAccess(void *self, MHD_Connection *handle, const char *url, const char *method,
-                         const char *version, const char *data, std::size_t *size, void **context)
-        -> MHD_Result;
-    static auto onCompleted(void *self, MHD_Connection *handle, void **context,
-                            MHD_RequestTerminationCode code) -> void;
-    static auto onConnection(void *self, MHD_Connection *handle, void **context,
-                             MHD_ConnectionNotificationCode code) -> void;
-
-    EventLoop &loop;
-    HttpServerOptions options;
-    Handler handler;
-    Timer timer;
-    MHD_Daemon *daemon = nullptr;
-    std::unique_ptr<IoWatcher> daemonWatcher;
-    /// Reports closed connections while they are suspended, when libmicrohttpd does not poll them.
-    FileDescriptor hangUpEpoll;
-    std::unique_ptr<IoWatcher> hangUpWatcher;
-    std::unordered_map<std::uint64_t, std::unique_ptr<ClientConnection>> connections;
-    std::uint64_t nextConnectionId = 1;
-    /// Ids of connections that the client had closed before they were suspended.
-    std::vector<std::uint64_t> closedBeforeSuspend;
-    std::size_t pending = 0;
-    std::uint16_t port = 0;
-    bool closing = false;
-    bool draining = false;
-    bool quiesced = false;
-    bool runScheduled = false;
-};
-
 auto HttpServer::Impl::start() -> Result<void>
 {
     BOOST_LEAF_AUTO(listener, listenOn(options.address));
@@ -218,23 +157,36 @@
     request.started = true;
     collectHeaders(request);
     request.rejection = validateHeader(request, options);
+    if (!request.rejection && !reserve(request, options.heldBytes)) {
+        reject(request, noMemoryResponse(request.message, options));
+    }
     if (!request.rejection) {
+        expectBody(request);
         return MHD_YES;
     }
     request.rejection->headers.set("connection", "close");
-    return sendResponse(request.handle, *request.rejection);
+    return sendTo(request, *request.rejection);
+}
+
+// Frees what was received of a request that the handler will not get.
+auto HttpServer::Impl::reject(ReceivedRequest &request, HttpResponse response) -> void
+{
+    discardBody(request);
+    request.rejection = std::move(response);
 }
 
 auto HttpServer::Impl::receive(ReceivedRequest &request, const char *data, std::size_t *size)
     -> MHD_Result
 {
     const auto count = std::exchange(*size, 0);
+    request.lastReceivedAt = loop.now();
     if (!request.rejection && request.message.body.size() + count > options.maxBodyBytes) {
-        request.rejection = bodyTooLargeResponse(options.maxBodyBytes);
-        request.message.body = {};
+        reject(request, bodyTooLargeResponse(options.maxBodyBytes));
+    }
+    if (!request.rejection && !appendToBody(request, {data, count}, options.maxBodyBytes)) {
+        reject(request, noMemoryResponse(request.message, options));
     }
     if (!request.rejection) {
-        request.message.body.append(data, count);
         return MHD_YES;
     }
     // MHD accepts no response before the end of the body, and closing the connection early could
@@ -245,8 +197,9 @@
 
 auto HttpServer::Impl::dispatch(ReceivedRequest &request) -> MHD_Result
 {
+    request.awaitsBody = false;
     if (request.rejection) {
-        return sendResponse(request.handle, *request.rejection);
+        return sendTo(request, *request.rejection);
     }
     request.dispatched = true;
     ++pending;
@@ -260,8 +213,7 @@
 
 auto HttpServer::Impl::callHandler(ReceivedRequest &request) -> void
 {
-    auto exchange = std::make_shared<HttpExchange::Impl>(std::move(request.message));
-    exchange->pending = &request;
+    auto exchange = std::make_shared<HttpExchange::Impl>(request);
     request.exchange = exchange.get();
     try {
         handler(HttpExchange(exchange));
@@ -271,17 +223,6 @@
     }
 }
 
-auto HttpServer::Impl::suspend(ReceivedRequest &request) -> void
-{
-    request.suspended = true;
-    MHD_suspend_connection(request.handle);
-    if (request.connection->peerClosed) {
-        // Deferred, as MHD cannot resume the connection within this callback.
-        closedBeforeSuspend.push_back(request.connection->id);
-        scheduleRun();
-    }
-}
-
 auto HttpServer::Impl::sendStoredResponse(ReceivedRequest &request) -> MHD_Result
 {
     if (!request.response) {
@@ -290,83 +231,17 @@
     if (closing || draining) {
         request.response->headers.set("connection", "close");
     }
-    return sendResponse(request.handle, *request.response);
+    return sendTo(request, *request.response);
 }
 
-auto HttpServer::Impl::abandon(ReceivedRequest &request) -> void
+auto HttpServer::Impl::sendTo(ReceivedRequest &request, HttpResponse &response) -> MHD_Result
 {
-    if (!request.suspended || request.response || request.abandoned) {
-        return;
-    }
-    request.abandoned = true;
-    resume(request);
-    if (request.exchange != nullptr && request.exchange->onAbandoned) {
-        const auto callback = std::exchange(request.exchange->onAbandoned, nullptr);
-        callback();
+    const auto isLong = response.body.size() > longResponseBytes;
+    const auto queued = sendResponse(request.handle, response, options.heldBytes);
+    if (queued == MHD_YES && isLong) {
+        expectReading(request);
     }
-}
-
-auto HttpServer::Impl::handleHangUps() -> void
-{
-    constexpr int maxEvents = 64;
-    auto events = std::array<epoll_event, maxEvents>{};
-    const auto count = ::epoll_wait(hangUpEpoll.get(), events.data(), maxEvents, 0);
-    for (auto index = 0; index < count; ++index) {
-        onHangUp(events.at(static_cast<std::size_t>(index)).data.u64);
-    }
-}
-
-auto HttpServer::Impl::onHangUp(std::uint64_t connectionId) -> void
-{
-    const auto found = connections.find(connectionId);
-    if (found == connections.end()) {
-        return;
-    }
-    auto &connection = *found->second;
-    connection.peerClosed = true;
-    if (connection.current != nullptr && connection.current->suspended) {
-        abandon(*connection.current);
-    } else {
-        // MHD misses an end of stream that arrives together with data: it stops at a short read,
-        // and its edge-triggered epoll reports no further event. shutdown() triggers one.
-        ::shutdown(connection.fd, SHUT_RD);
-    }
-}
-
-auto HttpServer::Impl::onCompleted(void *self, MHD_Connection *, void **context,
-                                   MHD_RequestTerminationCode) -> void
-{
-    const auto request = std::unique_ptr<ReceivedRequest>(static_cast<ReceivedRequest *>(*context));
-    *context = nullptr;
-    if (request == nullptr) {
-        return;
-    }
-    request->connection->current = nullptr;
-    if (request->exchange != nullptr) {
-        request->exchange->pending = nullptr;
-    }
-    if (request->dispatched) {
-        --static_cast<Impl *>(self)->pending;
-    }
-}
-
-auto HttpServer::Impl::onConnection(void *self, MHD_Connection *handle, void **context,
-                                    MHD_ConnectionNotificationCode code) -> void
-{
-    auto &server = *static_cast<Impl *>(self);
-    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-        const auto *connection = static_cast<ClientConnection *>(*context);
-        ::epoll_ctl(server.hangUpEpoll.get(), EPOLL_CTL_DEL, connection->fd, nullptr);
-        server.connections.erase(connection->id);
-        return;
-    }
-    auto connection = std::make_unique<ClientConnection>();
-    connection->id = server.nextConnectionId++;
-    connection->fd = MHD_get_connection_info(handle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-    auto event = epoll_event{.events = EPOLLRDHUP | EPOLLET, .data = {.u64 = connection->id}};
-    ::epoll_ctl(server.hangUpEpoll.get(), EPOLL_CTL_ADD, connection->fd, &event);
-    *context = connection.get();
-    server.connections.emplace(connection->id, std::move(connection));
+    return queued;
 }
 
 HttpServer::HttpServer(std::unique_ptr<Impl> impl)
@@ -403,4 +278,9 @@
     return m_impl->pending;
 }
 
+auto HttpServer::stalledConnections() const -> std::uint64_t
+{
+    return m_impl->stalledConnections;
+}
+
 } // namespace figlanding
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "figlanding/error.h"
+#include "figlanding/held_bytes.h"
 #include "figlanding/http_message.h"
 #include "figlanding/objects.h"
 #include "io/event_loop.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 /// @file
 /// HTTP/1.1 server: libmicrohttpd driven by an EventLoop.
@@ -24,6 +27,9 @@
 
     /// Returns the request, including its complete body.
     [[nodiscard]] auto request() const -> const HttpRequest &;
+    /// Moves the body out of the request. Its bytes stay charged until the last copy of this handle
+    /// is destroyed, so the body must not outlive them.
+    [[nodiscard]] auto takeBody() -> std::string;
     /// Sends the response. May be called after the handler has returned, from any callback of the
     /// loop. Only the first call has an effect. A body that ends with its connection is sent
     /// without a length, and the connection is closed after it.
@@ -47,6 +53,14 @@
     std::size_t maxBodyBytes = 1024UL * 1024; ///< a larger body gets status 413
     unsigned maxConnections = 4096;
     seconds idleTimeout{60};
+    /// A connection whose caller sends nothing of a body that it owes, or reads nothing of a long
+    /// response, is closed after this.
+    seconds stallTimeout{15};
+    /// Account for what the server holds; null: without limit. Must outlive the server.
+    HeldBytes *heldBytes = nullptr;
+    /// Returns the response to a request that does not fit into the account. It was not passed to
+    /// the handler. Empty: status 503 with Retry-After.
+    std::function<HttpResponse(const HttpRequest &)> noMemoryResponse = {};
 };
 
 /// Accepts connections and passes complete requests to a handler.
@@ -74,6 +88,9 @@
     auto drain() -> void;
     /// Returns the number of requests passed to the handler and not completed yet.
     [[nodiscard]] auto pending() const -> std::size_t;
+    /// Returns the number of connections that were closed because their callers stalled, or took
+    /// too long while memory was short.
+    [[nodiscard]] auto stalledConnections() const -> std::uint64_t;
 
 private:
     struct Impl;
--- /dev/null
+++ b/src/io/http_server_connections.cpp
@@ -0,0 +1,205 @@
+#include "io/http_server_impl.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace figlanding {
+
+namespace {
+
+/// Charged for each connection: what libmicrohttpd uses of its buffer, and the state kept here.
+constexpr std::size_t bytesPerConnection = 16UL * 1024;
+constexpr seconds stallCheckInterval{1};
+
+auto setTimeout(MHD_Connection *handle, seconds timeout) -> void
+{
+    MHD_set_connection_option(handle, MHD_CONNECTION_OPTION_TIMEOUT,
+                              static_cast<unsigned>(timeout.count()));
+}
+
+} // namespace
+
+auto HttpServer::Impl::suspend(ReceivedRequest &request) -> void
+{
+    request.suspended = true;
+    MHD_suspend_connection(request.handle);
+    if (request.connection->peerClosed) {
+        // Deferred, as MHD cannot resume the connection within this callback.
+        closedBeforeSuspend.push_back(request.connection->id);
+        scheduleRun();
+    }
+}
+
+auto HttpServer::Impl::abandon(ReceivedRequest &request) -> void
+{
+    if (!request.suspended || request.response || request.abandoned) {
+        return;
+    }
+    request.abandoned = true;
+    resume(request);
+    if (request.exchange != nullptr && request.exchange->onAbandoned) {
+        const auto callback = std::exchange(request.exchange->onAbandoned, nullptr);
+        callback();
+    }
+}
+
+auto HttpServer::Impl::handleHangUps() -> void
+{
+    constexpr int maxEvents = 64;
+    auto events = std::array<epoll_event, maxEvents>{};
+    const auto count = ::epoll_wait(hangUpEpoll.get(), events.data(), maxEvents, 0);
+    for (auto index = 0; index < count; ++index) {
+        onHangUp(events.at(static_cast<std::size_t>(index)).data.u64);
+    }
+}
+
+auto HttpServer::Impl::onHangUp(std::uint64_t connectionId) -> void
+{
+    const auto found = connections.find(connectionId);
+    if (found == connections.end()) {
+        return;
+    }
+    auto &connection = *found->second;
+    connection.peerClosed = true;
+    if (connection.current != nullptr && connection.current->suspended) {
+        abandon(*connection.current);
+    } else {
+        // MHD misses an end of stream that arrives together with data: it stops at a short read,
+        // and its edge-triggered epoll reports no further event. shutdown() triggers one.
+        ::shutdown(connection.fd, SHUT_RD);
+    }
+}
+
+auto HttpServer::Impl::onCompleted(void *self, MHD_Connection *handle, void **context,
+                                   MHD_RequestTerminationCode code) -> void
+{
+    const auto request = std::unique_ptr<ReceivedRequest>(static_cast<ReceivedRequest *>(*context));
+    *context = nullptr;
+    if (request == nullptr) {
+        return;
+    }
+    auto &connection = *request->connection;
+    connection.current = nullptr;
+    if (connection.stallTimeoutSet && code == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        connection.stallTimeoutSet = false;
+        setTimeout(handle, static_cast<Impl *>(self)->options.idleTimeout);
+    }
+    if (request->exchange != nullptr) {
+        request->exchange->pending = nullptr;
+    }
+    if (request->dispatched) {
+        --static_cast<Impl *>(self)->pending;
+    }
+}
+
+auto HttpServer::Impl::onConnection(void *self, MHD_Connection *handle, void **context,
+                                    MHD_ConnectionNotificationCode code) -> void
+{
+    auto &server = *static_cast<Impl *>(self);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        const auto *connection = static_cast<ClientConnection *>(*context);
+        ::epoll_ctl(server.hangUpEpoll.get(), EPOLL_CTL_DEL, connection->fd, nullptr);
+        // libmicrohttpd accepts the next connection in a later run, for which no event calls.
+        if (server.connections.size() >= server.options.maxConnections) {
+            server.scheduleRun();
+        }
+        server.connections.erase(connection->id);
+        return;
+    }
+    auto connection = std::make_unique<ClientConnection>();
+    connection->id = server.nextConnectionId++;
+    connection->fd = MHD_get_connection_info(handle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    auto event = epoll_event{.events = EPOLLRDHUP | EPOLLET, .data = {.u64 = connection->id}};
+    ::epoll_ctl(server.hangUpEpoll.get(), EPOLL_CTL_ADD, connection->fd, &event);
+    connection->fixedCost = HeldShare(server.options.heldBytes, HeldKind::Connection);
+    if (!connection->fixedCost.growTo(bytesPerConnection)) {
+        server.close(*connection);
+    }
+    *context = connection.get();
+    server.connections.emplace(connection->id, std::move(connection));
+}
+
+// Notes that the rest of a body is due from now on.
+auto HttpServer::Impl::expectBody(ReceivedRequest &request) -> void
+{
+    request.awaitsBody = true;
+    request.phaseBegan = loop.now();
+    request.lastReceivedAt = request.phaseBegan;
+    watchForStalls();
+}
+
+// Notes that a long response is to be read from now on. libmicrohttpd sees whether any of it is.
+auto HttpServer::Impl::expectReading(ReceivedRequest &request) -> void
+{
+    request.awaitsBody = false;
+    request.writesLongBody = true;
+    request.phaseBegan = loop.now();
+    request.connection->stallTimeoutSet = true;
+    setTimeout(request.handle, options.stallTimeout);
+    watchForStalls();
+}
+
+auto HttpServer::Impl::watchForStalls() -> void
+{
+    if (!stallTimer.active()) {
+        stallTimer.startOnce(stallCheckInterval);
+    }
+}
+
+// Closes connections whose callers stall in a body. If memory is short, also closes the one that
+// has been in a body or a long response for longest, however it progresses.
+auto HttpServer::Impl::closeStalled() -> void
+{
+    const auto due = loop.now() - options.stallTimeout;
+    const ClientConnection *longest = nullptr;
+    auto stalled = std::vector<const ClientConnection *>{};
+    auto watched = false;
+    for (const auto &[id, connection] : connections) {
+        const auto *request = connection->current;
+        if (request == nullptr || !(request->awaitsBody || request->writesLongBody)) {
+            continue;
+        }
+        watched = true;
+        if (request->awaitsBody && request->lastReceivedAt <= due) {
+            stalled.push_back(connection.get());
+        } else if (request->phaseBegan <= due
+                   && (longest == nullptr || request->phaseBegan < longest->current->phaseBegan)) {
+            longest = connection.get();
+        }
+    }
+    if (takeMemoryShortage() && stalled.empty() && longest != nullptr) {
+        stalled.push_back(longest);
+    }
+    for (const auto *connection : stalled) {
+        ++stalledConnections;
+        close(*connection);
+    }
+    if (watched) {
+        watchForStalls();
+    }
+}
+
+// Returns whether bytes did not fit into the account since the last call.
+auto HttpServer::Impl::takeMemoryShortage() -> bool
+{
+    if (options.heldBytes == nullptr) {
+        return false;
+    }
+    auto refusals = std::uint64_t{0};
+    for (const auto kind :
+         {HeldKind::RequestHeader, HeldKind::RequestBody, HeldKind::ServerResponse}) {
+        refusals += options.heldBytes->refusals(kind);
+    }
+    return std::exchange(knownRefusals, refusals) != refusals;
+}
+
+// Makes libmicrohttpd close the connection, which it finds at its end.
+auto HttpServer::Impl::close(const ClientConnection &connection) -> void
+{
+    ::shutdown(connection.fd, SHUT_RDWR);
+}
+
+} // namespace figlanding
--- a/src/io/http_server_request.cpp
+++ b/src/io/http_server_request.cpp
@@ -3,6 +3,7 @@
 #include "io/close_delimited_response.h"
 
 #include <charconv>
+#include <memory>
 #include <utility>
 
 namespace figlanding {
@@ -74,21 +75,43 @@
     return name == "content-length" || isHopByHop(name);
 }
 
+/// The body of a response while libmicrohttpd writes it.
+struct WrittenBody
+{
+    std::string text;
+    HeldShare share;
+};
+
+auto freeWrittenBody(void *body) -> void
+{
+    const auto owned = std::unique_ptr<WrittenBody>(static_cast<WrittenBody *>(body));
+}
+
 // A body whose end nobody stated gets none here either: the length of a part would make it look
 // whole.
-auto makeNativeResponse(MHD_Connection *handle, const HttpResponse &response) -> MHD_Response *
+auto makeNativeResponse(MHD_Connection *handle, HttpResponse &response, HeldShare share)
+    -> MHD_Response *
 {
     if (response.bodyEnd == BodyEnd::ConnectionEnd) {
-        return makeCloseDelimitedResponse(handle, response.body);
+        return makeCloseDelimitedResponse(handle, std::move(response.body), std::move(share));
     }
-    return MHD_create_response_from_buffer(
-        response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+    auto body = std::make_unique<WrittenBody>(
+        WrittenBody{.text = std::move(response.body), .share = std::move(share)});
+    auto *native = MHD_create_response_from_buffer_with_free_callback_cls(
+        body->text.size(), body->text.data(), &freeWrittenBody, body.get());
+    if (native != nullptr) {
+        static_cast<void>(body.release()); // libmicrohttpd frees it
+    }
+    return native;
 }
 
 } // namespace
 
-HttpExchange::Impl::Impl(HttpRequest message)
-    : request(std::move(message))
+HttpExchange::Impl::Impl(ReceivedRequest &received)
+    : request(std::move(received.message))
+    , headerShare(std::move(received.headerShare))
+    , bodyShare(std::move(received.bodyShare))
+    , pending(&received)
 { }
 
 HttpExchange::Impl::~Impl()
@@ -132,6 +155,11 @@
     return m_impl->request;
 }
 
+auto HttpExchange::takeBody() -> std::string
+{
+    return std::exchange(m_impl->request.body, {});
+}
+
 auto HttpExchange::respond(HttpResponse response) -> void
 {
     m_impl->respond(std::move(response));
@@ -179,9 +207,13 @@
     request.onResumed();
 }
 
-auto sendResponse(MHD_Connection *handle, const HttpResponse &response) -> MHD_Result
+auto sendResponse(MHD_Connection *handle, HttpResponse &response, HeldBytes *heldBytes)
+    -> MHD_Result
 {
-    auto *native = makeNativeResponse(handle, response);
+    // The bytes were charged while the response arrived, and are held whatever happens here.
+    auto share = HeldShare(heldBytes, HeldKind::CallerResponse);
+    share.hold(response.body.capacity());
+    auto *native = makeNativeResponse(handle, response, std::move(share));
     if (native == nullptr) {
         return MHD_NO;
     }
--- a/src/io/http_server_request.h
+++ b/src/io/http_server_request.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
 
 /// @file
 /// State of a request within the HTTP server, from its request line to its response.
@@ -22,6 +23,8 @@
     std::uint64_t id = 0;
     int fd = -1;
     bool peerClosed = false; ///< the client closed the connection or its sending side
+    bool stallTimeoutSet = false; ///< libmicrohttpd has the stall timeout instead of the idle one
+    HeldShare fixedCost;
     ReceivedRequest *current = nullptr; ///< null between requests
 };
 
@@ -41,12 +44,19 @@
     bool dispatched = false; ///< the handler was called
     bool suspended = false; ///< libmicrohttpd does not process the connection
     bool abandoned = false; ///< ends without a response: aborted, or the client disconnected
+    bool awaitsBody = false; ///< the client owes the rest of the body
+    bool writesLongBody = false; ///< the client has yet to read a long response
+    TimePoint phaseBegan; ///< when awaitsBody or writesLongBody was set
+    TimePoint lastReceivedAt; ///< last part of the body
+    HeldShare headerShare;
+    HeldShare bodyShare;
 };
 
 /// State shared by the copies of one HttpExchange.
 struct HttpExchange::Impl
 {
-    explicit Impl(HttpRequest message);
+    /// Takes the message and its shares out of a received request.
+    explicit Impl(ReceivedRequest &received);
     Impl(const Impl &) = delete;
     auto operator=(const Impl &) -> Impl & = delete;
     /// Sends a 500 response if the request has no response yet.
@@ -58,6 +68,8 @@
     auto abort() -> void;
 
     HttpRequest request;
+    HeldShare headerShare;
+    HeldShare bodyShare;
     ReceivedRequest *pending = nullptr; ///< null once the request has ended
     std::function<void()> onAbandoned;
 };
@@ -69,12 +81,27 @@
 /// @return the error response, or nothing if the header is valid
 [[nodiscard]] auto validateHeader(const ReceivedRequest &request, const HttpServerOptions &options)
     -> std::optional<HttpResponse>;
+/// Charges the header, and the body if its length is stated, and makes room for the body.
+/// @return whether they fit
+[[nodiscard]] auto reserve(ReceivedRequest &request, HeldBytes *heldBytes) -> bool;
+/// Frees and releases what was received of the body.
+auto discardBody(ReceivedRequest &request) -> void;
+/// Adds a part of the body. The part of a body without a stated length is charged as it arrives.
+/// @return false if it does not fit; the body is then discarded and its bytes are released
+[[nodiscard]] auto appendToBody(ReceivedRequest &request, std::string_view part,
+                                std::size_t maxBodyBytes) -> bool;
+/// Returns the response to a request that does not fit into the account.
+[[nodiscard]] auto noMemoryResponse(const HttpRequest &request, const HttpServerOptions &options)
+    -> HttpResponse;
 /// Returns the response to a request whose body exceeds @p maxBodyBytes.
 [[nodiscard]] auto bodyTooLargeResponse(std::size_t maxBodyBytes) -> HttpResponse;
 /// Resumes a suspended request, so that libmicrohttpd processes it again.
 auto resume(ReceivedRequest &request) -> void;
 /// Queues a response with libmicrohttpd.
+/// @param response its body is moved out and held until its last byte was written
+/// @param heldBytes account that the body is charged to; may be null
 /// @return MHD_NO if it can't be queued, which closes the connection
-[[nodiscard]] auto sendResponse(MHD_Connection *handle, const HttpResponse &response) -> MHD_Result;
+[[nodiscard]] auto sendResponse(MHD_Connection *handle, HttpResponse &response,
+                                HeldBytes *heldBytes) -> MHD_Result;
 
 } // namespace figlanding
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -140,16 +140,20 @@
     curl_easy_setopt(m_easy, CURLOPT_HTTPGET, 1L);
     if (method == "HEAD") {
         curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
-    } else if (!m_request.body.empty() || method == "POST" || method == "PUT"
-               || method == "PATCH") {
-        const auto size = static_cast<curl_off_t>(m_request.body.size());
+    } else if (!body().empty() || method == "POST" || method == "PUT" || method == "PATCH") {
+        const auto size = static_cast<curl_off_t>(body().size());
         curl_easy_setopt(m_easy, CURLOPT_POST, 1L);
         curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE_LARGE, size);
-        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.body.data());
+        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, body().data());
     }
     curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, method.c_str());
 }
 
+auto HttpTransfer::body() const -> const std::string &
+{
+    return m_options.sharedBody ? *m_options.sharedBody : m_request.body;
+}
+
 auto HttpTransfer::setHeaders() -> void
 {
     m_headerLines.clear();
@@ -201,9 +205,11 @@
     return std::exchange(m_callback, nullptr);
 }
 
-auto HttpTransfer::discardResponse() -> void
+auto HttpTransfer::discardMessages() -> void
 {
     m_response.discard();
+    std::string().swap(m_request.body); // an assignment keeps the storage
+    m_options.sharedBody.reset();
 }
 
 auto HttpTransfer::bytesSent() const -> curl_off_t
--- a/src/io/http_transfer.h
+++ b/src/io/http_transfer.h
@@ -56,12 +56,13 @@
     /// Returns when the call times out if no further byte of its response arrives.
     [[nodiscard]] auto dueAt() const -> TimePoint;
     [[nodiscard]] auto takeCallback() -> HttpClient::Callback;
-    /// Frees what was received and not moved out.
-    auto discardResponse() -> void;
+    /// Frees the request and what was received and not moved out.
+    auto discardMessages() -> void;
 
 private:
     auto setFixedOptions() -> void;
     auto setMethodAndBody() -> void;
+    [[nodiscard]] auto body() const -> const std::string &;
     auto setHeaders() -> void;
     auto setTimeouts(Duration timeLeft) -> void;
     [[nodiscard]] auto longestTime() const -> milliseconds;
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -78,6 +78,12 @@
     std::unordered_map<std::string, Metric *> m_metrics;
 };
 
+// Takes over the value of a count that is kept elsewhere.
+auto raiseTo(prometheus::Counter &counter, std::uint64_t count) -> void
+{
+    counter.Increment(static_cast<double>(count) - counter.Value());
+}
+
 } // namespace
 
 struct Metrics::Impl
@@ -122,6 +128,16 @@
         registry, "figlanding_server_running_requests", "Requests that run on a backend server.")};
     MetricCache<prometheus::Gauge> unservedKeys{registerGaugeFamily(
         registry, "figlanding_unserved_keys", "Keys without a live owner, by what they wait for.")};
+    MetricCache<prometheus::Gauge> heldBytes{
+        registerGaugeFamily(registry, "figlanding_held_bytes",
+                            "Bytes held for callers and servers, by what they are for.")};
+    MetricCache<prometheus::Counter> heldBytesRefusals{
+        registerCounterFamily(registry, "figlanding_held_bytes_refusals_total",
+                              "Times that bytes did not fit into the memory, by kind.")};
+    prometheus::Counter &stalledConnections =
+        registerCounterFamily(registry, "figlanding_stalled_connections_total",
+                              "Connections of callers that were closed because they stalled.")
+            .Add({});
     GaugeFamily &vmInfo =
         registerGaugeFamily(registry, "figlanding_vm_info", "Always 1; names the VM.");
     prometheus::Gauge &viewAge = registerGaugeFamily(registry, "figlanding_view_age_seconds",
@@ -195,6 +211,22 @@
     m_impl->replacedReads.get(topic, {{"topic", topic}}).Increment();
 }
 
+auto Metrics::setHeldBytes(const HeldBytes &heldBytes) -> void
+{
+    for (std::size_t index = 0; index < heldKinds; ++index) {
+        const auto kind = static_cast<HeldKind>(index);
+        const auto text = std::string(figlanding::toText(kind));
+        const auto labels = prometheus::Labels{{"kind", text}};
+        m_impl->heldBytes.get(text, labels).Set(static_cast<double>(heldBytes.used(kind)));
+        raiseTo(m_impl->heldBytesRefusals.get(text, labels), heldBytes.refusals(kind));
+    }
+}
+
+auto Metrics::setStalledConnections(std::uint64_t connections) -> void
+{
+    raiseTo(m_impl->stalledConnections, connections);
+}
+
 auto Metrics::setUnservedKeys(const std::string &wait, std::size_t keys) -> void
 {
     m_impl->unservedKeys.get(wait, {{"wait", wait}}).Set(static_cast<double>(keys));
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/held_bytes.h"
 #include "figlanding/http_message.h"
 #include "figlanding/names.h"
 #include "figlanding/refusal.h"
@@ -54,6 +55,10 @@
     /// Counts a read of the store that was replaced while it was in flight.
     /// @param topic "configuration", "servers" or "fleet"
     auto countReplacedRead(const std::string &topic) -> void;
+    /// Sets the bytes that are held, and how often bytes did not fit, by kind.
+    auto setHeldBytes(const HeldBytes &heldBytes) -> void;
+    /// Sets the number of connections of callers that were closed because they stalled.
+    auto setStalledConnections(std::uint64_t connections) -> void;
     /// Sets the number of keys without a live owner, as this VM knows it as the key controller.
     /// @param wait what they wait for: "store", "release", "lease", "candidate" or "record"
     auto setUnservedKeys(const std::string &wait, std::size_t keys) -> void;
--- a/src/io/received_response.cpp
+++ b/src/io/received_response.cpp
@@ -1,5 +1,6 @@
 #include "io/received_response.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 #include <vector>
@@ -36,6 +37,7 @@
 
 ReceivedResponse::ReceivedResponse(ResponseBudget &budget, const HttpClientOptions &options)
     : m_budget(budget)
+    , m_share(options.heldBytes, HeldKind::ServerResponse)
     , m_maxHeadBytes(options.maxHeadBytes)
     , m_maxBodyBytes(options.maxBodyBytes)
     , m_acceptsCloseDelimited(options.acceptsCloseDelimited)
@@ -55,6 +57,8 @@
 auto ReceivedResponse::discard() -> void
 {
     m_budget.release(m_response.body.size());
+    std::string().swap(m_response.body); // an assignment keeps the storage
+    m_share.clear();
     m_response = HttpResponse{.status = 0};
 }
 
@@ -125,7 +129,7 @@
         m_error = tooLarge("body", m_maxBodyBytes);
         return false;
     }
-    if (!m_budget.take(m_response.body.size(), data.size())) {
+    if (!makeRoom(data.size()) || !m_budget.take(m_response.body.size(), data.size())) {
         m_error = Error{.code = ErrorCode::LimitExceeded,
                         .detail = "no memory left for the body of the answer"};
         return false;
@@ -134,6 +138,22 @@
     return true;
 }
 
+// Makes room in the body, as far as the account allows.
+auto ReceivedResponse::makeRoom(std::size_t size) -> bool
+{
+    auto &body = m_response.body;
+    const auto needed = body.size() + size;
+    if (needed <= body.capacity()) {
+        return true;
+    }
+    const auto grown = std::max(needed, 2 * body.capacity());
+    if (!m_share.growTo(grown)) {
+        return false;
+    }
+    body.reserve(grown);
+    return true;
+}
+
 auto ReceivedResponse::countBodyBytes(std::size_t size) -> void
 {
     m_bodyBytesReceived += size;
@@ -209,6 +229,7 @@
 {
     m_response.bodyEnd = bodyEnd();
     m_budget.release(m_response.body.size());
+    m_share.clear();
     return std::exchange(m_response, {});
 }
 
--- a/src/io/received_response.h
+++ b/src/io/received_response.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/error.h"
+#include "figlanding/held_bytes.h"
 #include "figlanding/http_message.h"
 #include "figlanding/response_head.h"
 #include "io/http_client.h"
@@ -65,11 +66,13 @@
     [[nodiscard]] auto take() -> HttpResponse;
 
 private:
+    [[nodiscard]] auto makeRoom(std::size_t size) -> bool;
     [[nodiscard]] auto headError() const -> std::optional<Error>;
     [[nodiscard]] auto hasNoBody() const -> bool;
     [[nodiscard]] auto bodyEnd() const -> BodyEnd;
 
     ResponseBudget &m_budget;
+    HeldShare m_share; ///< storage of the body
     std::size_t m_maxHeadBytes;
     std::size_t m_maxBodyBytes;
     bool m_acceptsCloseDelimited;
