--- a/src/io/received_response.cpp
+++ b/src/io/received_response.cpp
@@ -88,13 +88,22 @@
     return !m_error;
 }
 
+// Returns whether the response has an id that is not that of its request, also beside that one.
+auto ReceivedResponse::hasOtherId() const -> bool
+{
+    const auto &expected = m_options->correlationHeader;
+    const auto &fields = m_response.headers.fields();
+    return expected && std::any_of(fields.begin(), fields.end(), [&](const auto &field) {
+               return equalsIgnoringCase(field.first, expected->first)
+                   && field.second != expected->second;
+           });
+}
+
 // Returns why the header shows that the response is not usable, before its body is read.
 auto ReceivedResponse::headError() const -> std::optional<Error>
 {
     const auto &headers = m_response.headers;
-    const auto &expected = m_options->correlationHeader;
-    const auto found = expected ? headers.find(expected->first) : std::nullopt;
-    if (found && *found != expected->second) {
+    if (hasOtherId()) {
         return Error{.code = ErrorCode::ProtocolViolation, .detail = "answer to another request"};
     }
     if (m_response.status == statusSwitchingProtocols) {
