--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/names.h"
 #include "figlanding/objects.h"
+#include "figlanding/process_limits.h"
 #include "io/log.h"
 
 #include <optional>
@@ -35,6 +36,8 @@
     /// Part of a service's requests that a version on trial may get; zero: no roll-outs.
     double trialShare = 0.0;
     milliseconds longestLease{10'000}; ///< longest lease that servers accept
+    /// Memory and file descriptors of this process; a value that is 0 is taken from the system.
+    ProcessLimits limits = {};
     LogLevel logLevel = LogLevel::Info;
 
     auto operator==(const GatewaySettings &) const -> bool = default;
