--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -34,9 +34,9 @@
     milliseconds resendAfter{120}; ///< an unanswered request for a slot is sent again
     milliseconds failoverAfter{250}; ///< a VM that has not responded for this long is replaced
     milliseconds avoidFor{1500}; ///< a replaced VM gets no requests for this long
-    /// A VM grants slots of cold servers once it has been responsible for their group this long:
-    /// the grants of the VM before it are over then, and a VM that has just started knows the
-    /// others.
+    /// A VM grants slots of cold servers, and tells the room of a group, once it has been
+    /// responsible for the group this long: the grants of the VM before it are over then, and a VM
+    /// that has just started knows the others.
     milliseconds coldTakeover{2000};
     UnconfirmedReleasesOptions releases;
     GroupChoiceOptions groupChoice;
@@ -203,6 +203,7 @@
     // known that may have room.
     auto retryElsewhere(std::uint64_t number, TimePoint now) -> bool;
     auto updateColdGrants(TimePoint now) -> void;
+    [[nodiscard]] auto knowsGrants(const ServiceId &group, TimePoint now) const -> bool;
     auto sendAcquire(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
     [[nodiscard]] auto findResponsibleVm(const ServiceId &group, TimePoint now) -> VmId;
     // Sends a release, and again until it is confirmed.
--- a/src/gateway/slot_client_choice.cpp
+++ b/src/gateway/slot_client_choice.cpp
@@ -77,7 +77,7 @@
 {
     auto result = std::map<ServiceId, GroupRoom>{};
     for (const auto &group : m_groupsOfAnyServer) {
-        if (m_responsibleSince.contains(group)) {
+        if (knowsGrants(group, now)) {
             result.emplace(group, m_broker.room(group, now));
         }
     }
@@ -93,8 +93,9 @@
 
 auto SlotClient::roomOf(const ServiceId &group, TimePoint now) const -> std::optional<GroupRoom>
 {
-    return m_dividedGroups.contains(group) ? std::optional(m_broker.room(group, now))
-                                           : std::nullopt;
+    return m_dividedGroups.contains(group) && knowsGrants(group, now)
+        ? std::optional(m_broker.room(group, now))
+        : std::nullopt;
 }
 
 auto SlotClient::onAskedForAnyServer(const ServiceId &group) -> void
--- a/src/gateway/slot_client_groups.cpp
+++ b/src/gateway/slot_client_groups.cpp
@@ -130,10 +130,18 @@
                 m_broker.setGrantsCold(group, false);
                 continue;
             }
-            const auto since = m_responsibleSince.try_emplace(group, now).first->second;
-            m_broker.setGrantsCold(group, now - since >= m_options.coldTakeover);
+            m_responsibleSince.try_emplace(group, now);
+            m_broker.setGrantsCold(group, knowsGrants(group, now));
         }
     }
 }
 
+// A VM that stands in for the responsible one, or has just replaced it, takes slots for free that
+// others have granted.
+auto SlotClient::knowsGrants(const ServiceId &group, TimePoint now) const -> bool
+{
+    const auto since = m_responsibleSince.find(group);
+    return since != m_responsibleSince.end() && now - since->second >= m_options.coldTakeover;
+}
+
 } // namespace figlanding
--- a/tests/contract/slot_groups_test.cpp
+++ b/tests/contract/slot_groups_test.cpp
@@ -111,6 +111,7 @@
     auto caller = Vm(transit, VmId("caller"), VmId("broker"));
     broker.client.setServers(registryOf(servers, 1), {});
     caller.client.setServers(registryOf(servers, 1), {});
+    broker.client.tick(start - seconds(2)); // responsible since then
     for (std::uint64_t number = 0; number < servers; ++number) {
         caller.client.acquire(request(number), start);
     }
@@ -156,3 +157,16 @@
     deliver(transit, broker, caller, start);
     CHECK(broker.client.granted() == 0);
 }
+
+TEST_CASE("a VM that stands in for the one responsible for a group tells no room of it")
+{
+    auto transit = Transit{};
+    auto broker = Vm(transit, VmId("broker"), VmId("caller"));
+    auto caller = Vm(transit, VmId("caller"), VmId("broker"));
+    broker.client.setServers(registryOf(4), {});
+    caller.client.setServers(registryOf(4), {});
+    caller.client.acquire(request(1), start);
+    deliver(transit, broker, caller, start);
+    CHECK(caller.decisions.contains(1));
+    CHECK(caller.client.groupReports().empty());
+}
