--- a/src/core/gateway/rollout_controller.cpp
+++ b/src/core/gateway/rollout_controller.cpp
@@ -257,7 +257,10 @@
             continue;
         }
         if (entry.version == record.version) {
-            if (!isSettling(server, now)) {
+            // A controller that has just started sees all servers for the first time.
+            const auto &onTrial = record.trialServers;
+            const auto known = std::find(onTrial.begin(), onTrial.end(), id) != onTrial.end();
+            if (known ? now >= server.coldUntil : !isSettling(server, now)) {
                 result.fresh.push_back(&server);
             }
         } else if (std::find(withheld.begin(), withheld.end(), entry.version) == withheld.end()) {
--- a/src/core/gateway/version_evidence.cpp
+++ b/src/core/gateway/version_evidence.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-/// Time from a server's first announcement until its responses count.
-constexpr milliseconds settleTime{1000};
+/// Time from a server's first announcement until its responses count. A server that has just
+/// started is slow for some seconds, also if it does not call itself cold.
+constexpr milliseconds settleTime{3000};
 /// Failures in a row after which a VM stops to send to the new version by itself.
 constexpr std::uint32_t maxFailuresInARow = 8;
 
--- a/src/core/gateway/version_rules.cpp
+++ b/src/core/gateway/version_rules.cpp
@@ -118,7 +118,7 @@
     if (rule->version.empty() || rule->phase == RolloutPhase::RolledBack) {
         return rule->basePool;
     }
-    const auto newPool = poolOf(service, rule->version);
+    auto newPool = poolOf(service, rule->version);
     if (rule->phase == RolloutPhase::Completed || rule->share >= 1.0) {
         return newPool;
     }
