--- a/include/figlanding/gateway/fleet_messages.h
+++ b/include/figlanding/gateway/fleet_messages.h
@@ -6,6 +6,7 @@
 #include "figlanding/gateway/slot_types.h"
 #include "figlanding/gateway/store.h"
 #include "figlanding/gateway/team_limits.h"
+#include "figlanding/gateway/version_evidence.h"
 
 #include <map>
 #include <optional>
@@ -140,7 +141,7 @@
 };
 
 using FleetPayload = std::variant<Heartbeat, SlotAcquire, SlotResponse, SlotRelease, TopicUpdate,
-                                  WorkReport, LeaseReport>;
+                                  WorkReport, LeaseReport, RolloutReport>;
 
 /// A datagram with its sender.
 struct FleetMessage
--- a/include/figlanding/gateway/fleet_records.h
+++ b/include/figlanding/gateway/fleet_records.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/error.h"
 #include "figlanding/gateway/key_controller.h"
+#include "figlanding/gateway/rollout.h"
 #include "figlanding/gateway/store.h"
 
 #include <map>
@@ -11,7 +12,8 @@
 #include <vector>
 
 /// @file
-/// The router's own records in the store: members, the controller's claim, and key ownership.
+/// The router's own records in the store: members, the controller's claim, key ownership and
+/// roll-outs.
 /// Values are encoded as CBOR; the newest record of each key is the valid one.
 
 namespace figlanding {
@@ -45,7 +47,8 @@
     auto operator==(const TableChange &) const -> bool = default;
 };
 
-using FleetRecord = std::variant<MemberRecord, ControllerClaim, TableRecord, TableChange>;
+using FleetRecord =
+    std::variant<MemberRecord, ControllerClaim, TableRecord, TableChange, RolloutRecord>;
 
 /// A record's key and its encoded value.
 struct EncodedRecord
--- a/include/figlanding/gateway/server_registry.h
+++ b/include/figlanding/gateway/server_registry.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/clock.h"
 #include "figlanding/gateway/key_ownership.h"
+#include "figlanding/gateway/version_rules.h"
 #include "figlanding/names.h"
 #include "figlanding/objects.h"
 
@@ -23,6 +24,7 @@
     ServiceId service;
     SocketAddress address;
     AvailabilityZoneId zone;
+    ServerVersion version; ///< empty if the server does not state it
     std::uint32_t slots = 1; ///< number of requests that it runs concurrently
     bool draining = false;
     milliseconds coldRemaining{}; ///< time until it has warmed up
@@ -78,6 +80,12 @@
     auto expire(TimePoint now) -> bool;
     /// Sets the zones whose servers get no new requests.
     auto setEvacuatedZones(std::set<AvailabilityZoneId> zones) -> void;
+    /// Sets which versions may get requests and keys.
+    auto setVersionRules(VersionRules rules) -> void;
+    [[nodiscard]] auto versionRules() const -> const VersionRules &
+    {
+        return m_versionRules;
+    }
 
     /// Returns a server, or null if it is not registered.
     [[nodiscard]] auto find(const BackendServerId &id) const -> const RegisteredServer *;
@@ -89,9 +97,12 @@
     [[nodiscard]] auto ownerState(const ServerIncarnation &owner) const -> OwnerState;
     /// Returns when a server was removed; nothing if it never was, or is registered.
     [[nodiscard]] auto goneSince(const BackendServerId &id) const -> std::optional<TimePoint>;
-    /// Returns whether a server accepts new requests: it is neither draining nor leaving, and its
-    /// zone is not evacuated.
+    /// Returns whether a server accepts new requests: it is neither draining nor leaving, its zone
+    /// is not evacuated, and its version is allowed.
     [[nodiscard]] auto acceptsRequests(const RegisteredServer &server) const -> bool;
+    /// Returns whether a server may own keys: it accepts new requests, and no roll-out moves its
+    /// keys away.
+    [[nodiscard]] auto acceptsKeys(const RegisteredServer &server) const -> bool;
     [[nodiscard]] auto evacuatedZones() const -> const std::set<AvailabilityZoneId> &
     {
         return m_evacuated;
@@ -102,6 +113,7 @@
     std::map<BackendServerId, TimePoint> m_removals;
     std::map<BackendServerId, TimePoint> m_goneSince; ///< removed lately
     std::set<AvailabilityZoneId> m_evacuated;
+    VersionRules m_versionRules;
 };
 
 } // namespace figlanding
--- a/include/figlanding/names.h
+++ b/include/figlanding/names.h
@@ -48,6 +48,8 @@
 using ServiceId = Name<struct ServiceTag>;
 using RouteId = Name<struct RouteTag>;
 using PolicyId = Name<struct PolicyTag>;
+/// Version of the software that a backend server runs.
+using ServerVersion = Name<struct ServerVersionTag>;
 
 /// Position of a record in the platform's log. The first record has offset 1; 0 means none.
 using LogOffset = std::uint64_t;
--- a/src/core/gateway/fleet_codec.h
+++ b/src/core/gateway/fleet_codec.h
@@ -21,7 +21,8 @@
     Topic = 5,
     Work = 6,
     ShortenedTopic = 7,
-    Leases = 8
+    Leases = 8,
+    Rollout = 9
 };
 
 /// Rounds to single precision, because CBOR encodes a number in four bytes instead of eight if that
--- a/src/core/gateway/fleet_messages.cpp
+++ b/src/core/gateway/fleet_messages.cpp
@@ -3,6 +3,7 @@
 #include "core/cbor.h"
 #include "core/compression.h"
 #include "core/gateway/fleet_codec.h"
+#include "core/gateway/rollout_codec.h"
 #include "core/gateway/slot_message_codec.h"
 
 #include <nlohmann/json.hpp>
@@ -216,6 +217,8 @@
         return asPayload(decodeWorkReport(fields));
     case Kind::Leases:
         return asPayload(decodeLeaseReport(fields));
+    case Kind::Rollout:
+        return asPayload(decodeRolloutReport(fields));
     }
     return fail(ErrorCode::InvalidValue, "unknown datagram kind");
 }
--- a/src/core/gateway/fleet_records.cpp
+++ b/src/core/gateway/fleet_records.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view memberPrefix = "member/";
 constexpr std::string_view tablePrefix = "table/";
 constexpr std::string_view changePrefix = "change/";
+constexpr std::string_view rolloutPrefix = "rollout/";
 constexpr std::string_view claimKey = "claim";
 
 auto toBytes(const json &value) -> std::string
@@ -79,6 +80,66 @@
             .value = toBytes(toRows(change.ranges))};
 }
 
+template <typename Tag>
+auto toTexts(const std::vector<Name<Tag>> &names) -> json
+{
+    auto texts = json::array();
+    for (const auto &name : names) {
+        texts.push_back(name.value());
+    }
+    return texts;
+}
+
+template <typename NameType>
+auto namesOf(const json &texts) -> std::vector<NameType>
+{
+    auto names = std::vector<NameType>{};
+    for (const auto &text : texts) {
+        names.emplace_back(text.get<std::string>());
+    }
+    return names;
+}
+
+auto encode(const RolloutRecord &record) -> EncodedRecord
+{
+    return {.key = std::string(rolloutPrefix) + record.service.value(),
+            .value = toBytes({{"version", record.version.value()},
+                              {"order", record.order},
+                              {"revision", record.revision},
+                              {"phase", static_cast<int>(record.phase)},
+                              {"share", record.share},
+                              {"trial_servers", toTexts(record.trialServers)},
+                              {"base", record.base.value()},
+                              {"withheld", toTexts(record.withheld)},
+                              {"ordered", record.orderedUnixMs},
+                              {"duration", record.duration.count()},
+                              {"reason", record.reason}})};
+}
+
+auto decodeRollout(const ServiceId &service, const json &fields) -> Result<FleetRecord>
+{
+    const auto phase = fields.at("phase").get<int>();
+    const auto share = fields.at("share").get<double>();
+    if (phase < 0 || phase > static_cast<int>(RolloutPhase::RolledBack) || !(share >= 0.0)
+        || share > 1.0) {
+        return fail(ErrorCode::InvalidValue,
+                    "roll-out of service " + service.value() + " has an unknown phase or share");
+    }
+    return FleetRecord(
+        RolloutRecord{.service = service,
+                      .version = ServerVersion(fields.at("version").get<std::string>()),
+                      .order = fields.at("order").get<LogOffset>(),
+                      .revision = fields.at("revision").get<std::uint64_t>(),
+                      .phase = static_cast<RolloutPhase>(phase),
+                      .share = share,
+                      .trialServers = namesOf<BackendServerId>(fields.at("trial_servers")),
+                      .base = ServerVersion(fields.at("base").get<std::string>()),
+                      .withheld = namesOf<ServerVersion>(fields.at("withheld")),
+                      .orderedUnixMs = fields.at("ordered").get<std::int64_t>(),
+                      .duration = milliseconds(fields.at("duration").get<std::int64_t>()),
+                      .reason = fields.at("reason").get<std::string>()});
+}
+
 auto rangesOf(const json &rows) -> std::vector<OwnedRange>
 {
     auto ranges = std::vector<OwnedRange>{};
@@ -128,6 +189,9 @@
         if (record.key.starts_with(tablePrefix)) {
             return decodeTable(ServiceId(record.key.substr(tablePrefix.size())), value);
         }
+        if (record.key.starts_with(rolloutPrefix)) {
+            return decodeRollout(ServiceId(record.key.substr(rolloutPrefix.size())), value);
+        }
         if (record.key.starts_with(changePrefix)) {
             return FleetRecord(
                 TableChange{.service = ServiceId(record.key.substr(changePrefix.size())),
--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -71,7 +71,7 @@
     for (auto &range : service.ranges) {
         const auto *server = inputs.registry.find(range.owned.owner.server);
         // A server without an entry may still run but be cut off from the store.
-        const auto leaving = server == nullptr || !inputs.registry.acceptsRequests(*server);
+        const auto leaving = server == nullptr || !inputs.registry.acceptsKeys(*server);
         if (const auto *restarted = newIncarnationOf(range, inputs.registry)) {
             // A grant sent before the restart can have reached only the earlier incarnation.
             const auto sentBefore =
@@ -168,7 +168,7 @@
             ServerIncarnation{.server = name, .startedUnixMs = server.entry.startedUnixMs};
         const auto avoided = m_avoidedUntil.find(incarnation);
         const auto isAvoided = avoided != m_avoidedUntil.end() && avoided->second > now;
-        if (server.entry.service != id || !inputs.registry.acceptsRequests(server) || isAvoided) {
+        if (server.entry.service != id || !inputs.registry.acceptsKeys(server) || isAvoided) {
             continue;
         }
         result.push_back({.incarnation = incarnation,
--- /dev/null
+++ b/src/core/gateway/rollout_controller.cpp
@@ -0,0 +1,311 @@
+#include "figlanding/gateway/rollout_controller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+namespace figlanding {
+
+namespace {
+
+// Returns the record after @p record.
+auto next(const RolloutRecord &record) -> RolloutRecord
+{
+    auto result = record;
+    result.revision += 1;
+    return result;
+}
+
+auto rolledBack(const RolloutRecord &record, std::string reason) -> RolloutRecord
+{
+    auto result = next(record);
+    result.phase = RolloutPhase::RolledBack;
+    result.share = 0.0;
+    result.trialServers.clear();
+    result.withheld.push_back(record.version);
+    result.reason = std::move(reason);
+    return result;
+}
+
+auto slotsOf(const std::vector<const RegisteredServer *> &servers) -> double
+{
+    auto slots = 0.0;
+    for (const auto *server : servers) {
+        slots += server->entry.slots;
+    }
+    return slots;
+}
+
+auto fractionOf(milliseconds duration, double fraction) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(duration * fraction);
+}
+
+} // namespace
+
+RolloutController::RolloutController(ServiceId service, const RolloutControllerOptions &options)
+    : m_service(std::move(service))
+    , m_options(options)
+    , m_judge(options.judge)
+{ }
+
+auto RolloutController::onReport(const VmId &from, const RolloutReport &report, TimePoint now)
+    -> void
+{
+    if (report.order != m_order) {
+        return;
+    }
+    m_judge.add(report.counts, now);
+    m_progress[from] = {.revision = report.revision, .pendingAtOld = report.pendingAtOld};
+}
+
+auto RolloutController::step(const RolloutInputs &inputs, TimePoint now)
+    -> std::optional<RolloutRecord>
+{
+    follow(inputs, now);
+    const auto *order = inputs.order;
+    const auto *record = inputs.record;
+    const auto isNewOrder =
+        order != nullptr && (record == nullptr || record->order < order->offset);
+    if (isNewOrder) {
+        const auto sameVersion = record != nullptr && record->version == order->version;
+        if (record != nullptr && isRunning(*record) && !sameVersion) {
+            return rolledBack(*record, "another version was ordered");
+        }
+        if (sameVersion && record->phase != RolloutPhase::RolledBack) {
+            auto repeated = next(*record); // keeps its deadline: the earlier one satisfies both
+            repeated.order = order->offset;
+            return repeated;
+        }
+        return begin(inputs);
+    }
+    if (record == nullptr || !isRunning(*record)) {
+        return std::nullopt;
+    }
+    return record->phase == RolloutPhase::Trial ? stepTrial(inputs, now) : stepShift(inputs, now);
+}
+
+// Begins evidence anew for another roll-out, and notes since when the newest record is known.
+auto RolloutController::follow(const RolloutInputs &inputs, TimePoint now) -> void
+{
+    const auto order = inputs.record == nullptr ? LogOffset{0} : inputs.record->order;
+    const auto revision = inputs.record == nullptr ? std::uint64_t{0} : inputs.record->revision;
+    if (order != m_order) {
+        m_order = order;
+        m_judge = RolloutJudge(m_options.judge);
+        m_judgement = {};
+        m_suspects.clear();
+        m_progress.clear();
+    }
+    if (revision != m_revision) {
+        m_revision = revision;
+        m_revisionSince = now;
+    }
+}
+
+auto RolloutController::begin(const RolloutInputs &inputs) const -> RolloutRecord
+{
+    const auto &order = *inputs.order;
+    const auto sinceOrder = std::chrono::duration_cast<milliseconds>(inputs.sinceOrder);
+    auto record = RolloutRecord{.service = m_service,
+                                .version = order.version,
+                                .order = order.offset,
+                                .revision = 1,
+                                .orderedUnixMs = inputs.unixMs - sinceOrder.count(),
+                                .duration = order.duration,
+                                .reason = "ordered"};
+    if (const auto *before = inputs.record) {
+        record.revision = before->revision + 1;
+        record.base = before->phase == RolloutPhase::Completed ? before->version : before->base;
+        record.withheld = before->withheld;
+        std::erase(record.withheld, order.version);
+    }
+    return record;
+}
+
+auto RolloutController::stepTrial(const RolloutInputs &inputs, TimePoint now)
+    -> std::optional<RolloutRecord>
+{
+    const auto &record = *inputs.record;
+    const auto left = record.duration - inputs.sinceOrder;
+    const auto servers = findCandidates(inputs, now);
+    m_judgement = m_judge.judge(EvidenceScope::All);
+    if (m_judgement.bad) {
+        return rolledBack(record, m_judgement.reason);
+    }
+    m_suspects.insert(m_judgement.suspects.begin(), m_judgement.suspects.end());
+    const auto trialServers = nextTrialServers(record, servers, inputs);
+    if (trialServers.empty() && !m_suspects.empty()) {
+        return rolledBack(record, "no server of the version gives good responses");
+    }
+    const auto shiftTime = std::max<Duration>(m_options.minShiftTime,
+                                              fractionOf(record.duration, m_options.shiftFraction));
+    const auto early = inputs.sinceOrder < fractionOf(record.duration, m_options.minTrialFraction);
+    const auto late = left <= shiftTime;
+    const auto known = late ? m_judgement.enoughWhenLate : m_judgement.enough;
+    if ((late || !early) && known && hasCapacity(servers) && left > m_options.lastShiftStart) {
+        auto shift = next(record);
+        shift.phase = RolloutPhase::Shift;
+        shift.share = std::max(record.share, m_options.shiftShares.front());
+        shift.reason = "no worse in " + std::to_string(m_judgement.responses) + " responses";
+        return shift;
+    }
+    if (left <= m_options.lastShiftStart) {
+        return rolledBack(record,
+                          known ? "too few servers of the version" : "too few responses to judge");
+    }
+    const auto share = trialShare(trialServers.size(), servers.inForce.size());
+    // A record for each server that comes or goes would be of no use.
+    constexpr auto leastChange = 0.8;
+    if (trialServers == record.trialServers && share >= leastChange * record.share) {
+        return std::nullopt;
+    }
+    auto trial = next(record);
+    trial.trialServers = trialServers;
+    trial.share = share;
+    return trial;
+}
+
+auto RolloutController::stepShift(const RolloutInputs &inputs, TimePoint now)
+    -> std::optional<RolloutRecord>
+{
+    const auto &record = *inputs.record;
+    const auto left = record.duration - inputs.sinceOrder;
+    m_judgement = m_judge.judge(EvidenceScope::Recent);
+    if (m_judgement.bad) {
+        return rolledBack(record, m_judgement.reason);
+    }
+    const auto &shares = m_options.shiftShares;
+    const auto step = std::find_if(shares.begin(), shares.end(),
+                                   [&](double share) { return share > record.share; });
+    if (step == shares.end()) {
+        const auto done = nothingAtOld(inputs) || left <= m_options.completionMargin;
+        return done ? std::optional(completed(inputs)) : std::nullopt;
+    }
+    if (left <= Duration::zero()) {
+        return rolledBack(record, "the time of the order is over");
+    }
+    const auto hurry = left <= m_options.lastShiftStart;
+    if (!hurry && now - m_revisionSince < m_options.stepInterval) {
+        return std::nullopt;
+    }
+    auto shift = next(record);
+    shift.share = hurry ? shares.back() : *step;
+    return shift;
+}
+
+// Servers on trial stay while they can: each change loses the requests that wait for them. Others
+// come from the zones with the fewest.
+auto RolloutController::nextTrialServers(const RolloutRecord &record, const Candidates &servers,
+                                         const RolloutInputs &inputs)
+    -> std::vector<BackendServerId>
+{
+    const auto share = m_options.maxShare * m_options.shareMargin;
+    const auto wanted = share * static_cast<double>(servers.inForce.size());
+    // Requests are divided by chance, but keys by server: fewer servers keep to the share there.
+    const auto count = inputs.keyed ? std::floor(wanted) : std::ceil(wanted);
+    const auto limit =
+        std::clamp<std::size_t>(static_cast<std::size_t>(count), 1, m_options.maxTrialServers);
+    auto chosen = std::vector<BackendServerId>{};
+    auto usable = std::map<BackendServerId, AvailabilityZoneId>{};
+    for (const auto *server : servers.fresh) {
+        if (!m_suspects.contains(server->entry.id)) {
+            usable.emplace(server->entry.id, server->entry.zone);
+        }
+    }
+    auto perZone = std::map<AvailabilityZoneId, std::size_t>{};
+    const auto choose = [&](const BackendServerId &id) {
+        perZone[usable.at(id)] += 1;
+        usable.erase(id);
+        chosen.push_back(id);
+    };
+    for (const auto &id : record.trialServers) {
+        if (usable.contains(id) && chosen.size() < limit) {
+            choose(id);
+        }
+    }
+    while (chosen.size() < limit && !usable.empty()) {
+        const auto best = std::min_element(usable.begin(), usable.end(),
+                                           [&](const auto &left, const auto &right) {
+                                               return perZone[left.second] < perZone[right.second];
+                                           });
+        choose(BackendServerId(best->first));
+    }
+    return chosen;
+}
+
+auto RolloutController::trialShare(std::size_t trialServers, std::size_t inForce) const -> double
+{
+    const auto allowed = m_options.maxShare * m_options.shareMargin;
+    const auto equalLoad =
+        static_cast<double>(trialServers) / static_cast<double>(std::max<std::size_t>(inForce, 1));
+    return std::min(allowed, equalLoad);
+}
+
+auto RolloutController::findCandidates(const RolloutInputs &inputs, TimePoint now) const
+    -> Candidates
+{
+    const auto &record = *inputs.record;
+    const auto &evacuated = inputs.registry.evacuatedZones();
+    const auto &withheld = record.withheld;
+    auto result = Candidates{};
+    for (const auto &[id, server] : inputs.registry.servers()) {
+        const auto &entry = server.entry;
+        const auto leaves = entry.draining || server.leaving || evacuated.contains(entry.zone);
+        if (entry.service != m_service || leaves) {
+            continue;
+        }
+        if (entry.version == record.version) {
+            // A controller that has just started sees all servers for the first time.
+            const auto &onTrial = record.trialServers;
+            const auto known = std::find(onTrial.begin(), onTrial.end(), id) != onTrial.end();
+            if (known ? now >= server.coldUntil : !isSettling(server, now)) {
+                result.fresh.push_back(&server);
+            }
+        } else if (std::find(withheld.begin(), withheld.end(), entry.version) == withheld.end()) {
+            result.inForce.push_back(&server);
+        }
+    }
+    return result;
+}
+
+auto RolloutController::hasCapacity(const Candidates &servers) const -> bool
+{
+    return !servers.fresh.empty()
+        && slotsOf(servers.fresh) >= m_options.minCapacity * slotsOf(servers.inForce);
+}
+
+auto RolloutController::nothingAtOld(const RolloutInputs &inputs) const -> bool
+{
+    const auto &record = *inputs.record;
+    const auto &owners = inputs.keyOwners;
+    const auto ownsKeys = std::any_of(owners.begin(), owners.end(), [&](const auto &id) {
+        const auto *server = inputs.registry.find(id);
+        return server != nullptr && server->entry.version != record.version;
+    });
+    return !ownsKeys
+        && std::all_of(inputs.liveVms.begin(), inputs.liveVms.end(), [&](const VmId &vm) {
+               const auto progress = m_progress.find(vm);
+               return progress != m_progress.end() && progress->second.revision >= record.revision
+                   && progress->second.pendingAtOld == 0;
+           });
+}
+
+auto RolloutController::completed(const RolloutInputs &inputs) const -> RolloutRecord
+{
+    auto result = next(*inputs.record);
+    result.phase = RolloutPhase::Completed;
+    result.trialServers.clear();
+    auto old = std::set<ServerVersion>(result.withheld.begin(), result.withheld.end());
+    for (const auto &[id, server] : inputs.registry.servers()) {
+        if (server.entry.service == m_service && server.entry.version != result.version) {
+            old.insert(server.entry.version);
+        }
+    }
+    result.withheld.assign(old.begin(), old.end());
+    result.reason = "no request is left at the replaced servers";
+    return result;
+}
+
+} // namespace figlanding
--- a/src/core/gateway/server_registry.cpp
+++ b/src/core/gateway/server_registry.cpp
@@ -75,6 +75,11 @@
     m_evacuated = std::move(zones);
 }
 
+auto ServerRegistry::setVersionRules(VersionRules rules) -> void
+{
+    m_versionRules = std::move(rules);
+}
+
 auto ServerRegistry::find(const BackendServerId &id) const -> const RegisteredServer *
 {
     const auto found = m_servers.find(id);
@@ -104,7 +109,13 @@
 
 auto ServerRegistry::acceptsRequests(const RegisteredServer &server) const -> bool
 {
-    return !server.entry.draining && !server.leaving && !m_evacuated.contains(server.entry.zone);
+    return !server.entry.draining && !server.leaving && !m_evacuated.contains(server.entry.zone)
+        && allowsRequests(m_versionRules, server.entry);
+}
+
+auto ServerRegistry::acceptsKeys(const RegisteredServer &server) const -> bool
+{
+    return acceptsRequests(server) && allowsKeys(m_versionRules, server.entry);
 }
 
 } // namespace figlanding
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,20 +4,20 @@
 #include "figlanding/gateway/fleet_records.h"
 #include "figlanding/gateway/key_loads.h"
 #include "figlanding/gateway/server_registry.h"
-#include "figlanding/gateway/suspend_detector.h"
 #include "gateway/fleet_link.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/key_controller_runner.h"
 #include "gateway/request_log.h"
 #include "gateway/request_path.h"
+#include "gateway/rollout_runner.h"
 #include "gateway/slot_log.h"
 #include "gateway/store_view.h"
+#include "gateway/suspension_watch.h"
 #include "gateway/topic_follower.h"
 #include "gateway/unserved_log.h"
 #include "io/random_bytes.h"
 
 #include <array>
-#include <ctime>
 #include <memory>
 #include <random>
 #include <set>
@@ -77,7 +77,9 @@
                                m_view.setAddress(member.vm, member.incarnation, member.address);
                            },
                        .onOwnership =
-                           [this](const OwnershipView &view) { m_controllerRunner.onView(view); }})
+                           [this](const OwnershipView &view) { m_controllerRunner.onView(view); },
+                       .onRolloutOrder = [this](const auto &order,
+                                                bool isNew) { m_rollouts.onOrder(order, isNew); }})
         , m_limits({}, loop.now())
         , m_slots(
               {.self = m_settings.vm,
@@ -91,7 +93,11 @@
                    [this](auto ticket, const auto &outcome) {
                        m_path.onSlotDecision(ticket, outcome);
                    },
-               .onConflict = [this](const auto &conflict) { m_slotLog.add(conflict); }})
+               .onConflict = [this](const auto &conflict) { m_slotLog.add(conflict); },
+               .onResult =
+                   [this](const auto &route, const auto &server, const auto &result) {
+                       m_rollouts.onResult(route, server, result);
+                   }})
         , m_path(
               loop, m_serverClient, m_slots, m_limits,
               {.retryRatio = m_settings.retryRatio * retryShare,
@@ -124,6 +130,13 @@
                .onProgress = [this] { m_progressTimer.startOnce(progressDelay); },
                .onAppended =
                    [this](const KeyedRecord &record) { m_fleetFollower.onAppended(record); }})
+        , m_rollouts(
+              loop, m_store, m_storeView, m_view, m_slots, m_metrics,
+              {.self = m_settings.vm, .controller = {.maxShare = m_settings.trialShare}},
+              {.isController = [this] { return m_controllerRunner.active(); },
+               .send = [this](const auto &vm, const auto &report) { m_link->send(vm, report); },
+               .onAppended =
+                   [this](const KeyedRecord &record) { m_fleetFollower.onAppended(record); }})
         , m_operatorFollower(
               loop, m_store, {.topic = Platform::operatorTopic, .wait = milliseconds(1200)},
               followerHandlers(
@@ -241,8 +254,6 @@
     static constexpr milliseconds lastResponsesTime{200};
     /// Time in which requests arrive that were under way when the last connection was accepted.
     static constexpr milliseconds lastArrivalsTime{100};
-    /// A period of failed reads counts as an outage if it is longer than this.
-    static constexpr milliseconds minOutage{800};
 
     /// A VM that lacks a newer configuration stops to serve by the older one this long before the
     /// newer one has to be in force: it learns of it from others after the store's confirmation.
@@ -278,25 +289,14 @@
             .shorten = shorten,
             .onRead =
                 [this, name, &topicOutage](TimePoint sentAt, LogOffset end) {
-                    if (const auto since = std::exchange(topicOutage.since, std::nullopt)) {
-                        const auto now = m_loop.now();
-                        if (now - *since > minOutage) {
-                            topicOutage.recoveredAt = now;
-                        }
-                        logEvent(LogLevel::Info, "store-regained",
-                                 {{"topic", name}, {"offset", end}});
-                    }
+                    endOutage(topicOutage, name, end, m_loop.now());
                     if (&topicOutage == &m_fleetOutage) {
                         m_controllerRunner.onOwnershipRead(sentAt);
                     }
                 },
             .onFailure =
                 [this, name, &topicOutage](const Error &error) {
-                    if (!topicOutage.since) {
-                        topicOutage.since = m_loop.now();
-                        logEvent(LogLevel::Warning, "store-lost",
-                                 {{"topic", name}, {"error", describe(error)}});
-                    }
+                    beginOutage(topicOutage, name, error, m_loop.now());
                 },
             .onReplaced =
                 [this, name](const ReplacedRead &read) {
@@ -356,6 +356,10 @@
             m_keyLoads.add(*report);
             return;
         }
+        if (const auto *rollout = std::get_if<RolloutReport>(&message.payload)) {
+            m_rollouts.onReport(message.from, *rollout);
+            return;
+        }
         if (const auto *leases = std::get_if<LeaseReport>(&message.payload)) {
             m_controllerRunner.onLeaseReport(
                 {.vm = message.from, .incarnation = message.incarnation}, *leases);
@@ -420,6 +424,7 @@
 
     auto sendWorkReport() -> void
     {
+        m_rollouts.sendReports();
         const auto report =
             WorkReport{.keys = m_keyLoads.takeCounts(), .serviceTimes = m_slots.serviceTimes()};
         const auto &controller = m_storeView.ownership().claim.vm;
@@ -463,38 +468,17 @@
                 coldRates[service.id] = service.coldRequestsPerSecond;
             }
         }
+        m_rollouts.updateRules();
         m_slots.setServers(m_storeView.registry(), coldRates);
     }
 
-    auto logQueue(TimePoint now) -> void
-    {
-        constexpr auto interval = seconds(1);
-        if (m_slots.waiting() > 0 && now - m_queueLoggedAt >= interval) {
-            m_queueLoggedAt = now;
-            logEvent(LogLevel::Info, "slots",
-                     {{"waiting", m_slots.waiting()}, {"granted", m_slots.granted()}});
-        }
-    }
-
-    // Detects a suspension of this VM, during which another VM may have become the controller.
-    auto checkSuspension() -> void
+    auto runController() -> void
     {
-        auto sinceBoot = timespec{};
-        ::clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
-        const auto suspended = m_suspendDetector.suspendedFor(
-            seconds(sinceBoot.tv_sec) + std::chrono::nanoseconds(sinceBoot.tv_nsec),
-            MonotonicClock::now());
-        if (suspended > Duration::zero()) {
-            const auto ms = std::chrono::duration_cast<milliseconds>(suspended).count();
-            logEvent(LogLevel::Warning, "suspended", {{"ms", ms}});
+        // Another VM may have become the controller while this one was suspended.
+        if (m_suspensionWatch.check()) {
             m_controllerRunner.onSuspended();
         }
-    }
-
-    auto runController() -> void
-    {
-        checkSuspension();
-        logQueue(m_loop.now());
+        m_slotLog.addQueue(m_slots.waiting(), m_slots.granted(), m_loop.now());
         if (m_controllerRunner.active()) {
             m_keyLoads.decay(m_loop.now());
         }
@@ -512,6 +496,7 @@
             }
         }
         m_controllerRunner.tick(inputs);
+        m_rollouts.tick();
         if (m_unservedLog.isDue(m_loop.now())) {
             m_unservedLog.report(m_controllerRunner.unservedRanges(), m_loop.now());
         }
@@ -552,7 +537,7 @@
     HttpClient m_commandClient;
     StoreType m_store;
     typename Platform::KeyLeaseClientType m_commandSender;
-    SuspendDetector m_suspendDetector;
+    SuspensionWatch m_suspensionWatch;
     FleetView m_view;
     StoreView<Platform> m_storeView;
     std::unique_ptr<FleetLink> m_link;
@@ -560,6 +545,7 @@
     SlotClient m_slots;
     RequestPath<typename Platform::Protocol> m_path;
     KeyControllerRunner<StoreType, typename Platform::KeyLeaseClientType> m_controllerRunner;
+    RolloutRunner<Platform> m_rollouts;
     Outage m_operatorOutage;
     Outage m_fleetOutage;
     Follower m_operatorFollower;
@@ -569,7 +555,6 @@
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<HttpServer> m_adminServer;
     KeyLoads m_keyLoads;
-    TimePoint m_queueLoggedAt;
     bool m_announced = false;
     TimePoint m_announceAt;
     bool m_leaving = false;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -16,6 +16,7 @@
     settings.drain = bounds.span("drain", settings.drain);
     settings.gracePeriod = bounds.span("grace_period", settings.gracePeriod);
     settings.longestLease = bounds.span("longest_lease", settings.longestLease);
+    settings.trialShare = bounds.fraction("trial_share", settings.trialShare);
     settings.retryRatio = bounds.fraction("retry_ratio", settings.retryRatio);
     settings.retryReserve = bounds.fraction("retry_reserve", settings.retryReserve);
     bounds.finish();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -32,6 +32,8 @@
     milliseconds gracePeriod{6000};
     double retryRatio = 0.2; ///< retries allowed per request of a service
     double retryReserve = 60.0; ///< retries allowed beyond the ratio, over all VMs
+    /// Part of a service's requests that a version on trial may get; zero: no roll-outs.
+    double trialShare = 0.0;
     milliseconds longestLease{10'000}; ///< longest lease that servers accept
     LogLevel logLevel = LogLevel::Info;
 
--- a/src/gateway/slot_client.cpp
+++ b/src/gateway/slot_client.cpp
@@ -47,14 +47,27 @@
 
 auto SlotClient::acquire(SlotRequest request, TimePoint now) -> void
 {
-    request.service = pickGroup(request);
-    request.zone = m_options.zone;
+    const auto service = request.service;
     const auto requestNumber = request.id.number;
+    request.service = pickPool(request);
+    request.zone = m_options.zone;
+    acquireFrom(service, std::move(request), requestNumber, now);
+}
+
+auto SlotClient::acquireFrom(const ServiceId &service, SlotRequest request,
+                             std::uint64_t requestNumber, TimePoint now) -> void
+{
+    const auto pool = request.service;
+    request.service = pickGroup(request);
     const auto number = m_nextTicket++;
     request.id = {.vm = m_options.self, .process = m_options.process, .number = number};
     m_ticketNumbers[requestNumber] = number;
     auto &ticket = m_tickets[number];
-    ticket = {.request = std::move(request), .requestNumber = requestNumber, .lastResponseAt = now};
+    ticket = {.request = std::move(request),
+              .service = service,
+              .pool = pool,
+              .requestNumber = requestNumber,
+              .lastResponseAt = now};
     ticket.responsibleVm = findResponsibleVm(ticket.request.service, now);
     sendAcquire(number, ticket, now);
 }
@@ -65,7 +78,7 @@
     ticket.sentAt = now;
     if (ticket.responsibleVm == m_options.self) {
         m_broker.acquire(request, now);
-        deliver(m_broker);
+        deliver(m_broker, now);
         return;
     }
     m_handlers.send(ticket.responsibleVm,
@@ -135,12 +148,15 @@
     }
     const auto entry = m_tickets.extract(number.mapped());
     const auto &id = entry.mapped().request.id;
+    if (entry.mapped().granted && m_handlers.onResult) {
+        m_handlers.onResult(entry.mapped().request.route, entry.mapped().server, result);
+    }
     if (entry.mapped().decidedLocally) {
         m_fallbackBroker.release(id, result, now);
-        deliver(m_fallbackBroker);
+        deliver(m_fallbackBroker, now);
     } else if (entry.mapped().responsibleVm == m_options.self) {
         m_broker.release(id, result, now);
-        deliver(m_broker);
+        deliver(m_broker, now);
     } else {
         sendRelease(entry.mapped().responsibleVm,
                     {.ticket = id.number,
@@ -152,11 +168,11 @@
     }
 }
 
-auto SlotClient::deliver(SlotBroker &broker) -> void
+auto SlotClient::deliver(SlotBroker &broker, TimePoint now) -> void
 {
     for (const auto &decision : broker.takeDecisions()) {
         if (decision.id.vm == m_options.self) {
-            resolveTicket(decision.id.number, decision.outcome);
+            resolveTicket(decision.id.number, decision.outcome, now);
             continue;
         }
         auto response = SlotResponse{.ticket = decision.id.number};
@@ -173,18 +189,25 @@
 }
 
 auto SlotClient::resolveTicket(std::uint64_t number,
-                               const std::variant<SlotGrant, SlotRefusal> &outcome) -> void
+                               const std::variant<SlotGrant, SlotRefusal> &outcome, TimePoint now)
+    -> void
 {
     const auto found = m_tickets.find(number);
     if (found == m_tickets.end() || found->second.granted) {
         return;
     }
     const auto requestNumber = found->second.requestNumber;
-    if (std::holds_alternative<SlotGrant>(outcome)) {
+    if (const auto *grant = std::get_if<SlotGrant>(&outcome)) {
         found->second.granted = true;
+        found->second.server = grant->server;
     } else {
         m_ticketNumbers.erase(requestNumber);
-        m_tickets.erase(found);
+        auto ticket = std::move(m_tickets.extract(found).mapped());
+        if (const auto pool = fallbackPool(m_versionRules, ticket.service, ticket.pool)) {
+            ticket.request.service = *pool;
+            acquireFrom(ticket.service, std::move(ticket.request), requestNumber, now);
+            return;
+        }
     }
     m_handlers.onDecision(requestNumber, outcome);
 }
@@ -241,7 +264,7 @@
                       .deadline = now + acquire.deadlineIn,
                       .route = acquire.route},
                      now);
-    deliver(m_broker);
+    deliver(m_broker, now);
     if (m_broker.isWaiting(id)) {
         auto response = SlotResponse{.ticket = acquire.ticket, .state = SlotState::Queued};
         response.process = message.incarnation;
@@ -258,7 +281,7 @@
                       .load = release.load,
                       .terms = release.terms},
                      now);
-    deliver(m_broker);
+    deliver(m_broker, now);
     m_handlers.send(message.from,
                     SlotResponse{.ticket = release.ticket,
                                  .process = message.incarnation,
@@ -297,22 +320,23 @@
     found->second.lastResponseAt = now;
     m_avoidedUntil.erase(from);
     if (response.state == SlotState::Granted) {
-        resolveTicket(response.ticket, SlotGrant{response.server});
+        resolveTicket(response.ticket, SlotGrant{response.server}, now);
     } else if (response.state == SlotState::Refused) {
-        resolveTicket(response.ticket, SlotRefusal{response.retryAfter});
+        resolveTicket(response.ticket, SlotRefusal{response.retryAfter}, now);
     }
 }
 
 auto SlotClient::tick(TimePoint now) -> void
 {
+    moveStranded(now);
     updateColdGrants(now);
     // Without the responsible VM, each VM may be one of all that send to a server.
     m_fallbackBroker.setLimitShare(1.0 / static_cast<double>(m_view.aliveCount(now)));
     m_broker.tick(now);
     m_fallbackBroker.tick(now);
     // Requests that these granted or refused must not move below.
-    deliver(m_broker);
-    deliver(m_fallbackBroker);
+    deliver(m_broker, now);
+    deliver(m_fallbackBroker, now);
     for (const auto &[to, release] : m_unconfirmedReleases.takeDue(now)) {
         m_handlers.send(to, release);
     }
@@ -351,8 +375,8 @@
         ticket.lastResponseAt = now;
         sendAcquire(number, ticket, now);
     }
-    deliver(m_broker);
-    deliver(m_fallbackBroker);
+    deliver(m_broker, now);
+    deliver(m_fallbackBroker, now);
 }
 
 } // namespace figlanding
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -4,18 +4,21 @@
 #include "figlanding/gateway/fleet_view.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/slot_broker.h"
+#include "figlanding/gateway/version_rules.h"
 #include "gateway/unconfirmed_releases.h"
 
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 /// @file
-/// Acquires server slots for this VM's requests. The servers of a service are split into groups by
-/// hash. One VM is responsible for each group and allocates the slots of its servers to all VMs.
+/// Acquires server slots for this VM's requests. The servers of a service form one pool, or one of
+/// each version while a roll-out divides the requests. The servers of a pool are split into groups
+/// by hash. One VM is responsible for each group and allocates the slots of its servers to all VMs.
 /// This VM does so for the groups it is responsible for.
 
 namespace figlanding {
@@ -70,6 +73,9 @@
         onDecision;
     /// Called for a message that does not agree with its ticket.
     std::function<void(const TicketConflict &)> onConflict;
+    /// Called with the result of each request that held a slot. May be empty.
+    std::function<void(const RouteId &, const ServerIncarnation &, const SlotResult &)> onResult =
+        {};
 };
 
 /// Requests slots for this VM and responds to the slot requests of other VMs.
@@ -83,7 +89,7 @@
     /// @param coldRates requests per second that a cold server of each service can handle
     auto setServers(const ServerRegistry &registry, const std::map<ServiceId, double> &coldRates)
         -> void;
-    /// Returns the number of groups of each service that has more than one. All VMs must use the
+    /// Returns the number of groups of each pool that has more than one. All VMs must use the
     /// same numbers, because a server's group and the VM that allocates its slots depend on them.
     [[nodiscard]] auto groupCounts() const -> std::map<ServiceId, std::size_t>;
     /// Takes over the larger numbers of groups that another VM uses.
@@ -104,6 +110,11 @@
     /// Resends unanswered requests and unconfirmed releases, fails over from a VM that does not
     /// respond to another one, and delivers decisions of the brokers that are due.
     auto tick(TimePoint now) -> void;
+    /// Returns the number of this VM's requests that wait for any server of the pool @p pool, or
+    /// hold a slot of, or wait for, a server that @p isMeant returns true for.
+    [[nodiscard]] auto
+    countTickets(const ServiceId &pool,
+                 const std::function<bool(const BackendServerId &)> &isMeant) const -> std::size_t;
     [[nodiscard]] auto waiting() const -> std::size_t
     {
         return m_broker.waiting();
@@ -137,6 +148,9 @@
     struct Ticket
     {
         SlotRequest request; ///< its service is the name of the group
+        ServiceId service;
+        ServiceId pool;
+        ServerIncarnation server; ///< valid if granted
         std::uint64_t requestNumber = 0; ///< given to acquire()
         VmId responsibleVm;
         bool granted = false;
@@ -147,8 +161,14 @@
         TimePoint sentAt;
     };
 
-    [[nodiscard]] auto groupOf(const ServiceId &service, const BackendServerId &server) const
+    [[nodiscard]] auto groupOf(const ServiceId &pool, const BackendServerId &server) const
         -> ServiceId;
+    [[nodiscard]] auto pickPool(const SlotRequest &request) -> ServiceId;
+    // Requests a slot of a pool. The request's service is the pool's name.
+    auto acquireFrom(const ServiceId &service, SlotRequest request, std::uint64_t requestNumber,
+                     TimePoint now) -> void;
+    // Moves the waiting requests of pools whose servers get nothing more.
+    auto moveStranded(TimePoint now) -> void;
     [[nodiscard]] auto pickGroup(const SlotRequest &request) -> ServiceId;
     auto updateColdGrants(TimePoint now) -> void;
     auto sendAcquire(std::uint64_t number, Ticket &ticket, TimePoint now) -> void;
@@ -157,9 +177,9 @@
     auto sendRelease(const VmId &to, const SlotRelease &release, TimePoint now) -> void;
     auto withdraw(const Ticket &ticket, TimePoint now) -> void;
     auto decideLocally(Ticket &ticket, TimePoint now) -> void;
-    auto deliver(SlotBroker &broker) -> void;
-    auto resolveTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome)
-        -> void;
+    auto deliver(SlotBroker &broker, TimePoint now) -> void;
+    auto resolveTicket(std::uint64_t number, const std::variant<SlotGrant, SlotRefusal> &outcome,
+                       TimePoint now) -> void;
     auto onAcquire(const FleetMessage &message, const SlotAcquire &acquire, TimePoint now) -> void;
     auto onRelease(const FleetMessage &message, const SlotRelease &release, TimePoint now) -> void;
     auto onResponse(const FleetMessage &message, const SlotResponse &response, TimePoint now)
@@ -172,7 +192,9 @@
     /// One slot per server; used when the responsible VM does not respond.
     SlotBroker m_fallbackBroker;
     RandomEngine m_random;
-    std::map<ServiceId, std::size_t> m_groupCounts;
+    VersionRules m_versionRules;
+    std::set<BackendServerId> m_newVersionServers; ///< of versions in a roll-out
+    std::map<ServiceId, std::size_t> m_groupCounts; ///< by pool
     /// Groups that this VM is responsible for, and since when.
     std::map<ServiceId, TimePoint> m_responsibleSince;
     /// VMs that did not respond, although their heartbeats may still arrive.
--- a/src/gateway/slot_client_groups.cpp
+++ b/src/gateway/slot_client_groups.cpp
@@ -15,19 +15,19 @@
 /// Limit for the number of groups that another VM may report.
 constexpr std::size_t maxGroups = 1000;
 
-auto groupName(const ServiceId &service, std::size_t group) -> ServiceId
+auto groupName(const ServiceId &pool, std::size_t group) -> ServiceId
 {
-    return ServiceId(service.value() + "#" + std::to_string(group));
+    return ServiceId(pool.value() + "#" + std::to_string(group));
 }
 
 } // namespace
 
-auto SlotClient::groupOf(const ServiceId &service, const BackendServerId &server) const -> ServiceId
+auto SlotClient::groupOf(const ServiceId &pool, const BackendServerId &server) const -> ServiceId
 {
-    const auto count = m_groupCounts.find(service);
+    const auto count = m_groupCounts.find(pool);
     const auto groups = count == m_groupCounts.end() ? std::size_t{1} : count->second;
     const auto &name = server.value();
-    return groupName(service, XXH3_64bits(name.data(), name.size()) % groups);
+    return groupName(pool, XXH3_64bits(name.data(), name.size()) % groups);
 }
 
 auto SlotClient::pickGroup(const SlotRequest &request) -> ServiceId
@@ -43,9 +43,17 @@
 auto SlotClient::setServers(const ServerRegistry &registry,
                             const std::map<ServiceId, double> &coldRates) -> void
 {
+    m_versionRules = registry.versionRules();
+    m_newVersionServers.clear();
     auto counts = std::map<ServiceId, std::size_t>{};
     for (const auto &[id, server] : registry.servers()) {
-        counts[server.entry.service] += 1;
+        for (const auto &pool : poolsOf(m_versionRules, server.entry)) {
+            counts[pool] += 1;
+        }
+        const auto rule = m_versionRules.find(server.entry.service);
+        if (rule != m_versionRules.end() && server.entry.version == rule->second.version) {
+            m_newVersionServers.insert(id);
+        }
     }
     for (const auto &[service, count] : counts) {
         // The number of groups never shrinks: with fewer groups the hash would assign servers to
@@ -62,13 +70,16 @@
     for (const auto &[id, server] : registry.servers()) {
         const auto &entry = server.entry;
         const auto rate = coldRates.find(entry.service);
-        groups[groupOf(entry.service, id)].push_back(
-            {.incarnation = {.server = id, .startedUnixMs = entry.startedUnixMs},
-             .zone = entry.zone,
-             .slots = entry.slots,
-             .coldRequestsPerSecond = rate == coldRates.end() ? 0.0 : rate->second,
-             .coldUntil = server.coldUntil,
-             .acceptsRequests = registry.acceptsRequests(server)});
+        const auto brokered =
+            BrokeredServer{.incarnation = {.server = id, .startedUnixMs = entry.startedUnixMs},
+                           .zone = entry.zone,
+                           .slots = entry.slots,
+                           .coldRequestsPerSecond = rate == coldRates.end() ? 0.0 : rate->second,
+                           .coldUntil = server.coldUntil,
+                           .acceptsRequests = registry.acceptsRequests(server)};
+        for (const auto &pool : poolsOf(m_versionRules, entry)) {
+            groups[groupOf(pool, id)].push_back(brokered);
+        }
     }
     for (auto &[group, servers] : groups) {
         m_broker.setServers(group, servers);
--- a/src/gateway/slot_log.cpp
+++ b/src/gateway/slot_log.cpp
@@ -44,4 +44,13 @@
               {"process", m_process}});
 }
 
+auto SlotLog::addQueue(std::size_t waiting, std::size_t granted, TimePoint now) -> void
+{
+    constexpr auto interval = seconds(1);
+    if (waiting > 0 && now - m_queueLoggedAt >= interval) {
+        m_queueLoggedAt = now;
+        logEvent(LogLevel::Info, "slots", {{"waiting", waiting}, {"granted", granted}});
+    }
+}
+
 } // namespace figlanding
--- a/src/gateway/slot_log.h
+++ b/src/gateway/slot_log.h
@@ -24,10 +24,14 @@
     auto add(const TicketConflict &conflict) -> void;
     /// Adds a grant of a server that runs another service than the request's.
     auto addOtherService(const RequestRecord &record, const ServerEntry &server) -> void;
+    /// Adds the state of the queues of the slots that this VM allocates; logged once a second while
+    /// requests wait.
+    auto addQueue(std::size_t waiting, std::size_t granted, TimePoint now) -> void;
 
 private:
     Metrics &m_metrics;
     std::string m_process;
+    TimePoint m_queueLoggedAt;
 };
 
 } // namespace figlanding
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -4,6 +4,7 @@
 #include "figlanding/gateway/fleet_records.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/store.h"
+#include "gateway/outage.h"
 #include "io/event_loop.h"
 #include "io/log.h"
 
@@ -22,13 +23,6 @@
 
 namespace figlanding {
 
-/// The current and the last outage of a topic.
-struct Outage
-{
-    std::optional<TimePoint> since; ///< first failed read; empty while reads succeed
-    TimePoint recoveredAt; ///< end of the last outage; short ones are not recorded
-};
-
 /// Callbacks of StoreView.
 struct StoreViewHandlers
 {
@@ -36,6 +30,9 @@
     std::function<void(const MemberRecord &)> onMember;
     /// Called after each fleet record or snapshot.
     std::function<void(const OwnershipView &)> onOwnership;
+    /// Called with each order of a roll-out, and whether it is new: not part of a snapshot. May be
+    /// empty.
+    std::function<void(const RolloutOrder &, bool isNew)> onRolloutOrder = {};
 };
 
 /// Applies the records of the three topics. The records of a topic must come in the order of their
@@ -83,29 +80,22 @@
         return std::exchange(m_serversChanged, false) || expired;
     }
 
-    /// Applies a configuration or zone evacuation record of an operator.
+    /// Returns the newest record of each service's roll-out.
+    [[nodiscard]] auto rollouts() const -> const std::map<ServiceId, RolloutRecord> &
+    {
+        return m_rollouts;
+    }
+    /// Sets which versions of the services may get requests and keys.
+    auto setVersionRules(VersionRules rules) -> void
+    {
+        m_registry.setVersionRules(std::move(rules));
+        m_serversChanged = true;
+    }
+
+    /// Applies a record of an operator: a configuration, a zone evacuation or an order.
     auto onOperatorRecord(const KeyedRecord &record) -> void
     {
-        const auto decoded = settle([&] { return Platform::decodeOperatorRecord(record); });
-        if (!decoded) {
-            logEvent(LogLevel::Error, "configuration-unreadable",
-                     {{"offset", record.offset}, {"error", describe(decoded.error())}});
-            return;
-        }
-        if (const auto *state = std::get_if<DesiredState>(&decoded.value())) {
-            applyState(*state);
-        } else if (const auto *zone = Platform::evacuationOf(decoded.value())) {
-            auto zones = m_registry.evacuatedZones();
-            if (zone->active) {
-                zones.insert(zone->zone);
-            } else {
-                zones.erase(zone->zone);
-            }
-            logEvent(LogLevel::Info, "zone-evacuation",
-                     {{"zone", zone->zone.value()}, {"active", zone->active}});
-            m_registry.setEvacuatedZones(std::move(zones));
-            m_serversChanged = true;
-        }
+        applyOperatorRecord(record, true);
     }
 
     /// Applies a snapshot of the operator topic. Zones without a record are not evacuated.
@@ -114,7 +104,7 @@
         m_registry.setEvacuatedZones({});
         m_serversChanged = true;
         for (const auto &record : records) {
-            onOperatorRecord(record);
+            applyOperatorRecord(record, false);
         }
     }
 
@@ -211,6 +201,34 @@
     }
 
 private:
+    auto applyOperatorRecord(const KeyedRecord &record, bool isNew) -> void
+    {
+        const auto decoded = settle([&] { return Platform::decodeOperatorRecord(record); });
+        if (!decoded) {
+            logEvent(LogLevel::Error, "configuration-unreadable",
+                     {{"offset", record.offset}, {"error", describe(decoded.error())}});
+            return;
+        }
+        if (const auto *state = std::get_if<DesiredState>(&decoded.value())) {
+            applyState(*state);
+        } else if (const auto *zone = Platform::evacuationOf(decoded.value())) {
+            auto zones = m_registry.evacuatedZones();
+            if (zone->active) {
+                zones.insert(zone->zone);
+            } else {
+                zones.erase(zone->zone);
+            }
+            logEvent(LogLevel::Info, "zone-evacuation",
+                     {{"zone", zone->zone.value()}, {"active", zone->active}});
+            m_registry.setEvacuatedZones(std::move(zones));
+            m_serversChanged = true;
+        } else if (const auto *order = Platform::rolloutOrderOf(decoded.value())) {
+            if (m_handlers.onRolloutOrder) {
+                m_handlers.onRolloutOrder(*order, isNew);
+            }
+        }
+    }
+
     // Ignores configurations that are not newer than the current one.
     auto applyState(const DesiredState &state) -> void
     {
@@ -305,6 +323,8 @@
             m_ownership.tables[table->service] = table->table;
         } else if (const auto *change = std::get_if<TableChange>(&decoded.value())) {
             applyChange(*change);
+        } else if (const auto *rollout = std::get_if<RolloutRecord>(&decoded.value())) {
+            m_rollouts[rollout->service] = *rollout;
         }
         m_ownership.end = std::max(m_ownership.end, record.offset + 1);
     }
@@ -335,6 +355,7 @@
     bool m_serversChanged = false;
     Outage m_serversOutage;
     OwnershipView m_ownership;
+    std::map<ServiceId, RolloutRecord> m_rollouts;
 };
 
 } // namespace figlanding
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -122,6 +122,11 @@
         registry, "figlanding_server_running_requests", "Requests that run on a backend server.")};
     MetricCache<prometheus::Gauge> unservedKeys{registerGaugeFamily(
         registry, "figlanding_unserved_keys", "Keys without a live owner, by what they wait for.")};
+    MetricCache<prometheus::Gauge> rolloutShare{registerGaugeFamily(
+        registry, "figlanding_rollout_share",
+        "Fraction of a service's requests for the version of its last roll-out.")};
+    MetricCache<prometheus::Gauge> rolloutPhase{registerGaugeFamily(
+        registry, "figlanding_rollout_phase", "1 for the phase of a service's last roll-out.")};
     GaugeFamily &vmInfo =
         registerGaugeFamily(registry, "figlanding_vm_info", "Always 1; names the VM.");
     prometheus::Gauge &viewAge = registerGaugeFamily(registry, "figlanding_view_age_seconds",
@@ -200,6 +205,22 @@
     m_impl->unservedKeys.get(wait, {{"wait", wait}}).Set(static_cast<double>(keys));
 }
 
+auto Metrics::setRollout(const RolloutMetric &rollout) -> void
+{
+    const auto &service = rollout.service.value();
+    const auto &version = rollout.version.value();
+    m_impl->rolloutShare.get(service + ' ' + version, {{"service", service}, {"version", version}})
+        .Set(rollout.share);
+    for (const auto phase : {RolloutPhase::Trial, RolloutPhase::Shift, RolloutPhase::Completed,
+                             RolloutPhase::RolledBack}) {
+        const auto text = std::string(figlanding::toText(phase));
+        m_impl->rolloutPhase
+            .get(service + ' ' + version + ' ' + text,
+                 {{"service", service}, {"version", version}, {"phase", text}})
+            .Set(phase == rollout.phase ? 1.0 : 0.0);
+    }
+}
+
 auto Metrics::countRetry(const std::string &cause) -> void
 {
     m_impl->retries.get(cause, {{"cause", cause}}).Increment();
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/gateway/rollout.h"
 #include "figlanding/http_message.h"
 #include "figlanding/names.h"
 #include "figlanding/refusal.h"
@@ -27,6 +28,17 @@
 /// Decision of one request filter.
 enum class FilterOutcome { Passed, Refused };
 
+/// What a VM follows of a service's roll-out.
+struct RolloutMetric
+{
+    ServiceId service;
+    ServerVersion version;
+    RolloutPhase phase = RolloutPhase::Trial;
+    double share = 0.0; ///< fraction of the requests for the version
+
+    auto operator==(const RolloutMetric &) const -> bool = default;
+};
+
 /// Registry of all metrics of the daemon.
 class Metrics
 {
@@ -57,6 +69,8 @@
     /// Sets the number of keys without a live owner, as this VM knows it as the key controller.
     /// @param wait what they wait for: "store", "release", "lease", "candidate" or "record"
     auto setUnservedKeys(const std::string &wait, std::size_t keys) -> void;
+    /// Sets phase and share of a service's roll-out.
+    auto setRollout(const RolloutMetric &rollout) -> void;
     /// Counts a second or later attempt at a request.
     /// @param cause reason for the retry, such as "not-run" or "hedge"
     auto countRetry(const std::string &cause) -> void;
--- a/tests/unit/fleet_messages_test.cpp
+++ b/tests/unit/fleet_messages_test.cpp
@@ -15,13 +15,16 @@
 {
     const auto message =
         FleetMessage{.from = VmId("vm-1"), .incarnation = "i1", .payload = payload};
-    const auto decoded = settle([&] { return decodeFleetMessage(encodeFleetMessage(message)); });
-    if (decoded) {
-        CHECK(decoded.value() == message);
-    } else {
-        CHECK(decoded.error().code == ErrorCode::InvalidValue);
-    }
-    return static_cast<bool>(decoded);
+    return valueOrElse(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(decoded, decodeFleetMessage(encodeFleetMessage(message)));
+            CHECK(decoded == message);
+            return true;
+        },
+        [](const Error &error) {
+            CHECK(error.code == ErrorCode::InvalidValue);
+            return false;
+        });
 }
 
 // Checks that a message is accepted with a duration at either bound, and refused beyond them.
