--- a/src/core/gateway/slot_broker_room.cpp
+++ b/src/core/gateway/slot_broker_room.cpp
@@ -1,6 +1,7 @@
 #include "figlanding/gateway/slot_broker.h"
 
-#include <algorithm>
+#include <cmath>
+#include <cstdint>
 
 /// @file
 /// What a SlotBroker tells other VMs of its groups.
@@ -10,6 +11,8 @@
 auto SlotBroker::room(const ServiceId &service, TimePoint now) const -> GroupRoom
 {
     constexpr auto msPerSecond = 1000.0;
+    /// Such a pause is over before most VMs choose by what is told here.
+    constexpr auto briefPause = milliseconds(250);
     const auto found = m_groups.find(service);
     if (found == m_groups.end()) {
         return {};
@@ -19,7 +22,8 @@
     anyRequest.service = service;
     auto result = GroupRoom{};
     for (const auto &[id, server] : group.servers) {
-        if (!server.info.acceptsRequests || unavailableUntil(server, anyRequest.zone) > now) {
+        if (!acceptsRequests(server)
+            || unavailableUntil(server, anyRequest.zone) > now + briefPause) {
             continue;
         }
         result.requestsPerSecond += requestsPerMs(server, anyRequest, now) * msPerSecond;
@@ -29,9 +33,12 @@
             result.freeSlots += isCold(server, anyRequest, now) ? 1 : slots;
         }
     }
-    result.waiting = static_cast<std::uint32_t>(
-        std::count_if(group.waiting.begin(), group.waiting.end(),
-                      [](const SlotRequest &request) { return request.owner.empty(); }));
+    // The rate is that of requests of factor 1.
+    auto work = 0.0;
+    for (const auto &request : group.waiting) {
+        work += request.owner.empty() ? group.work.factor(request.route) : 0.0;
+    }
+    result.waiting = static_cast<std::uint32_t>(std::lround(work));
     return result;
 }
 
