--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -216,6 +216,7 @@
     auto moveStranded(TimePoint now) -> void;
     // Gives a ticket a new number and requests its slot.
     auto start(Ticket ticket, TimePoint now) -> void;
+    [[nodiscard]] auto mayChangeGroup(const Ticket &ticket, TimePoint now) const -> bool;
     // Moves a waiting request to another group, if it is served clearly earlier there.
     auto moveIfEarlier(std::uint64_t number, TimePoint now) -> void;
     // Requests a slot of another group for a request that its group refused. Returns whether one is
--- a/src/gateway/slot_client_choice.cpp
+++ b/src/gateway/slot_client_choice.cpp
@@ -1,5 +1,6 @@
 #include "gateway/slot_client.h"
 
+#include <algorithm>
 #include <utility>
 
 /// @file
@@ -19,24 +20,32 @@
     }
     updateOwnRooms(now);
     auto &counts = m_groupChoiceCounts;
-    (m_groupChoice.reports().empty() ? counts.uninformed : counts.informed) += 1;
+    const auto &reports = m_groupChoice.reports();
+    const auto isKnown = std::any_of(groups.begin(), groups.end(),
+                                     [&](const auto &group) { return reports.contains(group); });
+    (isKnown ? counts.informed : counts.uninformed) += 1;
     return m_groupChoice.choose(groups, now, m_random);
 }
 
+// Returns whether a request may still ask another group: with less time left than a failover takes,
+// it could not be refused in time if that group's VM is silent.
+auto SlotClient::mayChangeGroup(const Ticket &ticket, TimePoint now) const -> bool
+{
+    return !ticket.granted && !ticket.decidedLocally
+        && ticket.request.deadline - now > m_options.failoverAfter
+        && m_dividedGroups.contains(ticket.groupOfAnyServer());
+}
+
 auto SlotClient::moveIfEarlier(std::uint64_t number, TimePoint now) -> void
 {
     const auto found = m_tickets.find(number);
-    if (found == m_tickets.end() || found->second.granted || found->second.decidedLocally
-        || found->second.moves >= m_options.maxMoves) {
-        return;
-    }
-    const auto group = found->second.groupOfAnyServer();
-    if (!m_dividedGroups.contains(group)) {
+    if (found == m_tickets.end() || found->second.moves >= m_options.maxMoves
+        || !mayChangeGroup(found->second, now)) {
         return;
     }
     updateOwnRooms(now);
-    const auto earlier =
-        m_groupChoice.chooseForWaiting(group, groupsOf(found->second.pool), now, m_random);
+    const auto earlier = m_groupChoice.chooseForWaiting(
+        found->second.groupOfAnyServer(), groupsOf(found->second.pool), now, m_random);
     if (!earlier) {
         return;
     }
@@ -51,17 +60,13 @@
 auto SlotClient::retryElsewhere(std::uint64_t number, TimePoint now) -> bool
 {
     const auto found = m_tickets.find(number);
-    if (found == m_tickets.end() || found->second.granted || found->second.decidedLocally
-        || found->second.wasRefused) {
-        return false;
-    }
-    const auto group = found->second.groupOfAnyServer();
-    if (!m_dividedGroups.contains(group)) {
+    if (found == m_tickets.end() || found->second.wasRefused
+        || !mayChangeGroup(found->second, now)) {
         return false;
     }
     updateOwnRooms(now);
-    const auto other =
-        m_groupChoice.chooseForRefused(group, groupsOf(found->second.pool), now, m_random);
+    const auto other = m_groupChoice.chooseForRefused(found->second.groupOfAnyServer(),
+                                                      groupsOf(found->second.pool), now, m_random);
     if (!other) {
         return false;
     }
