Retry the first failures of a process again

What callers would see: 502 or 503 after the first rejection of a process that had just started, where the request was retried before. Cause: the last retry of a budget was kept for callers that cannot come back, and a budget starts with one.

--- a/include/figlanding/retry_policy.h
+++ b/include/figlanding/retry_policy.h
@@ -32,10 +32,6 @@
     /// Withdraws one extra attempt from the budget.
     /// @return false, without a withdrawal, if the budget is exhausted
     [[nodiscard]] auto take() -> bool;
-    /// Withdraws one extra attempt if another one is left for a request that needs it more. A
-    /// budget that cannot hold two keeps none.
-    /// @return false, without a withdrawal, if too little is left
-    [[nodiscard]] auto takeSpare() -> bool;
 
 private:
     double m_ratio;
--- a/src/core/retry_policy.cpp
+++ b/src/core/retry_policy.cpp
@@ -40,12 +40,6 @@
     return true;
 }
 
-auto RetryBudget::takeSpare() -> bool
-{
-    const auto kept = std::clamp(m_capacity - 1.0, 0.0, 1.0);
-    return m_available >= 1.0 + kept && take();
-}
-
 auto mayRetry(const FailedAttempt &attempt) -> bool
 {
     const auto notRun = attempt.verdict == Verdict::NotRun;
--- a/src/gateway/request_retries.cpp
+++ b/src/gateway/request_retries.cpp
@@ -7,17 +7,6 @@
 namespace {
 
 constexpr double retriesAtStart = 1.0; ///< so that the first failures of a process are retried
-constexpr milliseconds minTimeToReturn{600}; ///< a caller with less time left does not return
-/// A caller that has spent this time on earlier attempts has returned. Less may be a slow link.
-constexpr milliseconds minTimeOfAttempt{50};
-
-// Returns whether the caller is expected to return if its request is refused.
-auto canReturn(const ActiveRequest &active, TimePoint now) -> bool
-{
-    const auto timeSpent =
-        active.route->latencyObjective - (active.objectiveAt - active.receivedAt);
-    return timeSpent < minTimeOfAttempt && active.deadline - now >= minTimeToReturn;
-}
 
 } // namespace
 
@@ -44,11 +33,7 @@
 
 auto RequestRetries::takeFor(const ActiveRequest &active, Verdict verdict, TimePoint now) -> bool
 {
-    if (!isRetryable(active, verdict, now)) {
-        return false;
-    }
-    auto &budget = m_budgets.at(active.service);
-    return canReturn(active, now) ? budget.takeSpare() : budget.take();
+    return isRetryable(active, verdict, now) && take(active.service);
 }
 
 auto RequestRetries::take(const ServiceId &service) -> bool
--- a/src/gateway/request_retries.h
+++ b/src/gateway/request_retries.h
@@ -27,9 +27,6 @@
 /// A budget starts with a single retry. An earlier process of this VM may just have spent the VM's
 /// part of the reserve, and a process that has just started does not know among how many VMs to
 /// divide it.
-///
-/// A caller that is refused returns if it has time left, and then brings a retry of its own to the
-/// budget. One that has returned already, or has little time left, is lost with its request.
 class RequestRetries
 {
 public:
@@ -38,8 +35,7 @@
     /// Credits the budget of a service for a new request.
     /// @param fleetSize number of VMs, at least 1; they share the reserve
     auto onRequest(const ServiceId &service, double fleetSize) -> void;
-    /// Withdraws a retry of a request from its service's budget. When the budget is short, the
-    /// requests of callers that can return leave the last retry to the others.
+    /// Withdraws a retry of a request from its service's budget.
     /// @param verdict of the last attempt
     /// @return false, without a withdrawal, if route, caller or deadline allow no other attempt, or
     /// the budget is exhausted
--- a/src/gateway/slot_client_pools.cpp
+++ b/src/gateway/slot_client_pools.cpp
@@ -75,7 +75,8 @@
         }
         m_ticketNumbers.erase(ticket.requestNumber);
         ticket.request.service = ticket.service;
-        startIn(pickPool(ticket.request), std::move(ticket), now);
+        const auto pool = pickPool(ticket.request);
+        startIn(pool, std::move(ticket), now);
     }
 }
 
