--- a/tests/unit/route_work_test.cpp
+++ b/tests/unit/route_work_test.cpp
@@ -123,7 +123,7 @@
 
 TEST_CASE("a request that stalls does not make its route seem unservable")
 {
-    auto work = RouteWork({});
+    auto work = RouteWork{};
     for (auto i = 0; i < 200; ++i) {
         work.add(photos, 1.0);
         work.add(downloads, 1.0);
