--- a/include/figlanding/gateway/rollout_controller.h
+++ b/include/figlanding/gateway/rollout_controller.h
@@ -64,6 +64,7 @@
     /// For a keyed service: servers that own keys.
     std::set<BackendServerId> keyOwners = {};
     std::set<VmId> liveVms = {}; ///< all VMs that may send requests
+    bool serversKnown = true; ///< the registry was read; before that no step is due
 };
 
 /// Decides the next record of one service's roll-out.
@@ -113,7 +114,10 @@
         -> Candidates;
     [[nodiscard]] auto hasCapacity(const Candidates &servers) const -> bool;
     [[nodiscard]] auto nothingAtOld(const RolloutInputs &inputs) const -> bool;
-    [[nodiscard]] auto completed(const RolloutInputs &inputs) const -> RolloutRecord;
+    [[nodiscard]] auto completed(const RolloutRecord &record, const RolloutInputs &inputs,
+                                 std::string reason) const -> RolloutRecord;
+    [[nodiscard]] auto isKnown(const RolloutRecord &record, const RegisteredServer &server) const
+        -> bool;
     auto follow(const RolloutInputs &inputs, TimePoint now) -> void;
 
     ServiceId m_service;
@@ -122,6 +126,10 @@
     Judgement m_judgement;
     std::set<BackendServerId> m_suspects; ///< servers that were taken off the trial
     LogOffset m_order = 0; ///< of the roll-out that the evidence belongs to
+    bool m_began = false; ///< a step was asked for
+    /// Set for a controller that takes over a running roll-out: servers that were announced by then
+    /// count as settled, since its view does not tell how long they have been there.
+    std::optional<TimePoint> m_tookOverAt;
     std::uint64_t m_revision = 0; ///< of the newest record that was seen
     TimePoint m_revisionSince;
     std::map<VmId, VmProgress> m_progress;
--- a/src/core/gateway/rollout_controller.cpp
+++ b/src/core/gateway/rollout_controller.cpp
@@ -1,5 +1,7 @@
 #include "figlanding/gateway/rollout_controller.h"
 
+#include "figlanding/gateway/ordered_version.h"
+
 #include <algorithm>
 #include <cmath>
 #include <string>
@@ -63,6 +65,9 @@
 auto RolloutController::step(const RolloutInputs &inputs, TimePoint now)
     -> std::optional<RolloutRecord>
 {
+    if (!inputs.serversKnown) {
+        return std::nullopt;
+    }
     follow(inputs, now);
     const auto *order = inputs.order;
     const auto *record = inputs.record;
@@ -89,6 +94,9 @@
 // Begins evidence anew for another roll-out, and notes since when the newest record is known.
 auto RolloutController::follow(const RolloutInputs &inputs, TimePoint now) -> void
 {
+    if (!std::exchange(m_began, true) && inputs.record != nullptr && isRunning(*inputs.record)) {
+        m_tookOverAt = now;
+    }
     const auto order = inputs.record == nullptr ? LogOffset{0} : inputs.record->order;
     const auto revision = inputs.record == nullptr ? std::uint64_t{0} : inputs.record->revision;
     if (order != m_order) {
@@ -121,6 +129,14 @@
         record.withheld = before->withheld;
         std::erase(record.withheld, order.version);
     }
+    const auto isInForce = hasServersOf(inputs.registry, m_service, order.version)
+        && !hasServersBeside(inputs.registry, m_service, order.version,
+                             {record.withheld.begin(), record.withheld.end()});
+    if (isInForce) {
+        record.revision -= 1; // completed() counts it
+        record = completed(record, inputs, "the version is in force already");
+        record.share = 1.0;
+    }
     return record;
 }
 
@@ -181,7 +197,9 @@
                                    [&](double share) { return share > record.share; });
     if (step == shares.end()) {
         const auto done = nothingAtOld(inputs) || left <= m_options.completionMargin;
-        return done ? std::optional(completed(inputs)) : std::nullopt;
+        return done
+            ? std::optional(completed(record, inputs, "no request is left at the replaced servers"))
+            : std::nullopt;
     }
     if (left <= Duration::zero()) {
         return rolledBack(record, "the time of the order is over");
@@ -257,10 +275,7 @@
             continue;
         }
         if (entry.version == record.version) {
-            // A controller that has just started sees all servers for the first time.
-            const auto &onTrial = record.trialServers;
-            const auto known = std::find(onTrial.begin(), onTrial.end(), id) != onTrial.end();
-            if (known ? now >= server.coldUntil : !isSettling(server, now)) {
+            if (isKnown(record, server) ? now >= server.coldUntil : !isSettling(server, now)) {
                 result.fresh.push_back(&server);
             }
         } else if (std::find(withheld.begin(), withheld.end(), entry.version) == withheld.end()) {
@@ -270,6 +285,14 @@
     return result;
 }
 
+auto RolloutController::isKnown(const RolloutRecord &record, const RegisteredServer &server) const
+    -> bool
+{
+    const auto &onTrial = record.trialServers;
+    return (m_tookOverAt && server.firstSeenAt <= *m_tookOverAt)
+        || std::find(onTrial.begin(), onTrial.end(), server.entry.id) != onTrial.end();
+}
+
 auto RolloutController::hasCapacity(const Candidates &servers) const -> bool
 {
     return !servers.fresh.empty()
@@ -292,9 +315,10 @@
            });
 }
 
-auto RolloutController::completed(const RolloutInputs &inputs) const -> RolloutRecord
+auto RolloutController::completed(const RolloutRecord &record, const RolloutInputs &inputs,
+                                  std::string reason) const -> RolloutRecord
 {
-    auto result = next(*inputs.record);
+    auto result = next(record);
     result.phase = RolloutPhase::Completed;
     result.trialServers.clear();
     auto old = std::set<ServerVersion>(result.withheld.begin(), result.withheld.end());
@@ -304,7 +328,7 @@
         }
     }
     result.withheld.assign(old.begin(), old.end());
-    result.reason = "no request is left at the replaced servers";
+    result.reason = std::move(reason);
     return result;
 }
 
--- a/src/gateway/rollout_runner.h
+++ b/src/gateway/rollout_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/gateway/fleet_view.h"
+#include "figlanding/gateway/ordered_version.h"
 #include "figlanding/gateway/rollout_controller.h"
 #include "figlanding/gateway/version_arrivals.h"
 #include "gateway/rollout_log.h"
@@ -218,8 +219,11 @@
         auto rule = record == nullptr ? VersionRule{.basePool = service} : ruleOf(*record);
         rule.keyed = isKeyed(service);
         const auto awaitsRecord = known != nullptr
-            && (record == nullptr || record->order < known->order.offset)
-            && rule.version != known->order.version;
+            && isWithheldUntilRecord({.order = known->order,
+                                      .record = record,
+                                      .isNew = known->isNew,
+                                      .recordsRead = m_view.ownership().end > 0},
+                                     m_view.registry());
         if (awaitsRecord) {
             rule.withheld.insert(known->order.version);
         }
@@ -271,6 +275,12 @@
                                  : Duration(milliseconds(unixMs - record->orderedUnixMs));
     }
 
+    // Returns whether the registry is complete: servers of a service that is not configured yet are
+    // not in it.
+    [[nodiscard]] auto serversKnown() const -> bool
+    {
+        return m_view.serversKnown() && m_view.state() != nullptr;
+    }
     [[nodiscard]] auto liveVms() const -> std::set<VmId>
     {
         auto result = std::set<VmId>{m_options.self};
@@ -315,7 +325,8 @@
                                            .unixMs = unixMs,
                                            .keyed = isKeyed(service),
                                            .keyOwners = keyOwners(service),
-                                           .liveVms = liveVms()},
+                                           .liveVms = liveVms(),
+                                           .serversKnown = serversKnown()},
                                           m_loop.now());
         if (next) {
             append(*next, controller.judgement());
--- a/tests/unit/rollout_controller_test.cpp
+++ b/tests/unit/rollout_controller_test.cpp
@@ -75,7 +75,8 @@
                                                .registry = registry,
                                                .sinceOrder = now - orderedAt,
                                                .unixMs = 1'000'000,
-                                               .liveVms = {vm}},
+                                               .liveVms = {vm},
+                                               .serversKnown = serversKnown},
                                               now);
             if (next && storeIsUp) {
                 if (record) {
@@ -104,6 +105,7 @@
     std::uint32_t pendingAtOld = 0;
     std::uint32_t exposed = 0; ///< requests on trial
     bool storeIsUp = true;
+    bool serversKnown = true;
 };
 
 // A service with an order and servers of the ordered version that are warm a second later.
@@ -184,6 +186,54 @@
     }
 }
 
+TEST_CASE("a controller that starts late counts the servers that it finds, once it has read them")
+{
+    auto rollout = ordered();
+    rollout.storeIsUp = false; // the trial goes on, as its controller cannot end it
+    rollout.run(milliseconds(9'600));
+    rollout.storeIsUp = true;
+    // Its VM is new as well: it sees all servers for the first time.
+    rollout.registry = ServerRegistry{};
+    rollout.replaceController();
+    rollout.serversKnown = false;
+    rollout.run(milliseconds(600));
+    CHECK(rollout.phase() == RolloutPhase::Trial);
+    rollout.addServers(v1, 20, rollout.now);
+    rollout.addServers(v2, 20, rollout.now);
+    rollout.serversKnown = true;
+    rollout.run(milliseconds(3300));
+    CHECK(rollout.phase() == RolloutPhase::Completed);
+}
+
+TEST_CASE("an order for the version in force is completed at once, and withholds nothing of it")
+{
+    auto rollout = Rollout{};
+    rollout.addServers(v1, 20, start - seconds(60));
+    SUBCASE("as the first order of the service")
+    {
+        rollout.give(v1);
+        rollout.run(milliseconds(100));
+        CHECK(rollout.record->withheld.empty());
+    }
+    SUBCASE("after the roll-back of another version, whose servers are still there")
+    {
+        rollout.give(v2);
+        rollout.run(milliseconds(200));
+        rollout.addServers(v2, 20, rollout.now);
+        rollout.run(seconds(5), 0.5);
+        CHECK(rollout.phase() == RolloutPhase::RolledBack);
+        rollout.give(v1);
+        rollout.run(milliseconds(100));
+        CHECK(rollout.record->withheld == std::vector{v2});
+    }
+    CHECK(rollout.phase() == RolloutPhase::Completed);
+    CHECK(rollout.record->version == v1);
+    const auto rules = VersionRules{{service, ruleOf(*rollout.record)}};
+    const auto &old = rollout.registry.servers().at(BackendServerId("v1-0")).entry;
+    CHECK(allowsRequests(rules, old));
+    CHECK(poolsOf(rules, old) == std::vector{choosePool(rules, service, false, 0.5)});
+}
+
 TEST_CASE("a store that is away until after the deadline leaves the share, then rolls back")
 {
     auto rollout = ordered();
--- a/tests/unit/version_rules_test.cpp
+++ b/tests/unit/version_rules_test.cpp
@@ -1,3 +1,4 @@
+#include "figlanding/gateway/ordered_version.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/version_arrivals.h"
 #include "figlanding/gateway/version_rules.h"
@@ -129,3 +130,26 @@
     CHECK(arrivals.heldBack(service, later) == std::set<ServerVersion>{ServerVersion("v2")});
     CHECK(arrivals.heldBack(service, later + seconds(2)).empty());
 }
+
+TEST_CASE("an ordered version waits for its record only beside another one that may serve")
+{
+    const auto order =
+        RolloutOrder{.service = service, .version = ServerVersion("v2"), .offset = 9};
+    auto registry = ServerRegistry{};
+    registry.announce(server("n1", "v2"), start);
+    CHECK_FALSE(isWithheldUntilRecord({.order = order, .isNew = true}, registry));
+    registry.announce(server("o1", "v1"), start);
+    CHECK(isWithheldUntilRecord({.order = order, .isNew = true}, registry));
+    CHECK(isWithheldUntilRecord({.order = order}, registry));
+    // This VM has started after a roll-out, whose old servers are not removed yet.
+    CHECK_FALSE(isWithheldUntilRecord({.order = order, .recordsRead = false}, registry));
+    // The order carried out, and another one before it that withholds v1.
+    auto before = record(RolloutPhase::Completed, 1.0);
+    before.order = 9;
+    CHECK_FALSE(isWithheldUntilRecord({.order = order, .record = &before}, registry));
+    before.order = 4;
+    before.version = ServerVersion("v0");
+    CHECK(isWithheldUntilRecord({.order = order, .record = &before}, registry));
+    before.withheld = {ServerVersion("v1")};
+    CHECK_FALSE(isWithheldUntilRecord({.order = order, .record = &before}, registry));
+}
