--- a/include/figlanding/gateway/slot_types.h
+++ b/include/figlanding/gateway/slot_types.h
@@ -46,7 +46,9 @@
     TicketId id;
     ServiceId service;
     BackendServerId owner; ///< the only server that may run it; empty: any server of the service
-    std::vector<BackendServerId> excluded; ///< servers on which an earlier attempt failed
+    std::vector<BackendServerId> excluded; ///< servers that may not run it
+    /// Servers on which an earlier attempt failed. Only the requesting VM needs them.
+    std::vector<BackendServerId> failedOn;
     std::uint32_t priority = 0; ///< 0 is the most urgent
     AvailabilityZoneId zone; ///< of the requesting VM
     TimePoint arrivedAt;
--- a/include/figlanding/gateway/version_rules.h
+++ b/include/figlanding/gateway/version_rules.h
@@ -2,6 +2,7 @@
 
 #include "figlanding/gateway/rollout.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -24,6 +25,7 @@
 {
     ServiceId basePool; ///< pool of the versions in force before the roll-out
     ServerVersion version; ///< to which the traffic moves; empty if there was no roll-out yet
+    std::uint64_t revision = 0; ///< of the record; zero if there is none
     RolloutPhase phase = RolloutPhase::Trial;
     double share = 0.0; ///< fraction of the requests for the new version
     std::set<BackendServerId> trialServers;
@@ -57,6 +59,10 @@
 /// @param random uniform in [0, 1)
 [[nodiscard]] auto choosePool(const VersionRules &rules, const ServiceId &service,
                               bool failedOnTrial, double random) -> ServiceId;
+/// Returns whether a VM that sees only failures of the new version may stop sending to it by
+/// itself. Not where the version's servers own keys that have moved: their requests have no other
+/// servers.
+[[nodiscard]] auto mayStopAlone(const VersionRule &rule) -> bool;
 /// Returns the pool that may run a request for which @p pool has no room: a caller does not pay for
 /// a trial. Empty if there is none.
 [[nodiscard]] auto fallbackPool(const VersionRules &rules, const ServiceId &service,
--- a/src/core/gateway/version_rules.cpp
+++ b/src/core/gateway/version_rules.cpp
@@ -46,6 +46,7 @@
 {
     return {.basePool = poolOf(record.service, record.base),
             .version = record.version,
+            .revision = record.revision,
             .phase = record.phase,
             .share = record.share,
             .trialServers = {record.trialServers.begin(), record.trialServers.end()},
@@ -60,8 +61,10 @@
     }
     const auto newPool = poolOf(server.service, rule->version);
     if (rule->phase == RolloutPhase::Completed) {
-        // A version that came without an order is served by the pool in force.
-        return {rule->version.empty() ? rule->basePool : newPool};
+        // A version that came without an order is served by the pool in force. Replaced servers
+        // stay where they were: they would raise the number of groups of that pool.
+        const auto replaced = rule->withheld.contains(server.version);
+        return {rule->version.empty() || replaced ? rule->basePool : newPool};
     }
     if (!isNew(*rule, server)) {
         return {rule->basePool};
@@ -128,6 +131,13 @@
     return rule->phase == RolloutPhase::Trial ? trialPool(service, *rule) : newPool;
 }
 
+auto mayStopAlone(const VersionRule &rule) -> bool
+{
+    const auto keysMove = rule.keyed && rule.phase == RolloutPhase::Shift;
+    const auto isRunning = rule.phase == RolloutPhase::Trial || rule.phase == RolloutPhase::Shift;
+    return isRunning && !rule.version.empty() && rule.share < 1.0 && !keysMove;
+}
+
 auto fallbackPool(const VersionRules &rules, const ServiceId &service, const ServiceId &pool)
     -> std::optional<ServiceId>
 {
--- a/src/gateway/active_request.h
+++ b/src/gateway/active_request.h
@@ -45,7 +45,8 @@
     /// Number of sends to servers, without those that the HTTP client reports as not run.
     std::uint32_t attempts = 0;
     Verdict verdict = Verdict::NotRun;
-    std::vector<BackendServerId> excluded; ///< servers on which an earlier attempt failed
+    std::vector<BackendServerId> excluded; ///< servers that get no further attempt
+    std::vector<BackendServerId> failedOn; ///< servers on which an earlier attempt failed
     ServerIncarnation server; ///< of the last send
     HttpClient::CallId call = 0; ///< 0 if none is in flight
 };
--- a/src/gateway/request_path.h
+++ b/src/gateway/request_path.h
@@ -220,6 +220,7 @@
                          .service = active.service,
                          .owner = owner.server,
                          .excluded = std::move(excluded),
+                         .failedOn = active.failedOn,
                          .priority = active.priority,
                          .arrivedAt = active.receivedAt,
                          .objectiveAt = active.objectiveAt,
@@ -424,6 +425,7 @@
             return;
         }
         active.excluded.push_back(active.server.server);
+        active.failedOn.push_back(active.server.server);
         active.stage = Stage::Idle;
         active.dispatchAt = now;
     }
--- a/src/gateway/slot_client.h
+++ b/src/gateway/slot_client.h
@@ -143,6 +143,9 @@
     [[nodiscard]] auto
     countTickets(const ServiceId &pool,
                  const std::function<bool(const BackendServerId &)> &isMeant) const -> std::size_t;
+    /// Returns the revision of the roll-out's record that new requests of a service follow; zero if
+    /// there is none.
+    [[nodiscard]] auto revisionOf(const ServiceId &service) const -> std::uint64_t;
     [[nodiscard]] auto waiting() const -> std::size_t
     {
         return m_broker.waiting();
--- a/src/gateway/slot_client_pools.cpp
+++ b/src/gateway/slot_client_pools.cpp
@@ -14,14 +14,20 @@
     if (!m_versionRules.contains(request.service)) {
         return request.service;
     }
-    const auto &excluded = request.excluded;
+    const auto &failed = request.failedOn;
     const auto failedOnTrial =
-        std::any_of(excluded.begin(), excluded.end(),
+        std::any_of(failed.begin(), failed.end(),
                     [this](const auto &server) { return m_newVersionServers.contains(server); });
     auto unit = std::uniform_real_distribution<double>(0.0, 1.0);
     return choosePool(m_versionRules, request.service, failedOnTrial, unit(m_random));
 }
 
+auto SlotClient::revisionOf(const ServiceId &service) const -> std::uint64_t
+{
+    const auto rule = m_versionRules.find(service);
+    return rule == m_versionRules.end() ? 0 : rule->second.revision;
+}
+
 auto SlotClient::startIn(const ServiceId &pool, Ticket ticket, TimePoint now) -> void
 {
     ticket.pool = pool;
--- a/tests/unit/version_rules_test.cpp
+++ b/tests/unit/version_rules_test.cpp
@@ -91,6 +91,8 @@
     const auto pool = choosePool(rules, service, true, 0.99);
     CHECK_FALSE(allowsRequests(rules, server("o1", "v1")));
     CHECK(poolsOf(rules, server("n2", "v2")) == std::vector{pool});
+    // It would raise the number of groups of the new pool.
+    CHECK(poolsOf(rules, server("o1", "v1")) == std::vector{service});
     CHECK(poolsOf(rules, server("x1", "v9")) == std::vector{pool});
     CHECK_FALSE(mayWaitAt(rules, service, service));
 }
@@ -153,3 +155,24 @@
     before.withheld = {ServerVersion("v1")};
     CHECK_FALSE(isWithheldUntilRecord({.order = order, .record = &before}, registry));
 }
+
+TEST_CASE("a VM does not stop by itself where the new servers own keys that have moved")
+{
+    auto rule = ruleOf(record(RolloutPhase::Trial, 0.08));
+    CHECK(mayStopAlone(rule));
+    rule.keyed = true;
+    CHECK(mayStopAlone(rule));
+    rule.phase = RolloutPhase::Shift;
+    CHECK_FALSE(mayStopAlone(rule));
+    rule.keyed = false;
+    CHECK(mayStopAlone(rule));
+    rule.share = 1.0;
+    CHECK_FALSE(mayStopAlone(rule));
+}
+
+TEST_CASE("a rule names the record that it comes from, so that a VM can tell what it follows")
+{
+    auto shift = record(RolloutPhase::Shift, 0.5);
+    shift.revision = 7;
+    CHECK(ruleOf(shift).revision == 7);
+}
