--- a/include/figlanding/gateway/rollout_controller.h
+++ b/include/figlanding/gateway/rollout_controller.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 /// @file
@@ -18,7 +19,7 @@
 ///
 /// 1. Trial without a share, until servers of the new version are warm.
 /// 2. Trial with a share. A few servers get it, so many that each has about the load of a server in
-///    force: a fault that shows under load only shows here. It lasts half of the time at least,
+///    force: a fault that shows under load only shows here. It lasts two thirds of the time,
 ///    because a version may turn bad late.
 /// 3. Shift: the share rises in steps to all requests. Evidence still counts.
 /// 4. Completed, once no VM has a request at the servers that the version replaces. They may stop
@@ -35,7 +36,7 @@
     double maxShare = 0.1; ///< allowed share of a version on trial; zero: no roll-outs
     double shareMargin = 0.8; ///< part of the allowed share that is used
     std::size_t maxTrialServers = 24; ///< they form one group
-    double minTrialFraction = 0.5; ///< part of the order's time before a version is good
+    double minTrialFraction = 0.66; ///< part of the order's time before a version is good
     /// Part of the order's time, and time at least, that is left for the shift.
     double shiftFraction = 0.33;
     milliseconds minShiftTime{4500};
@@ -52,6 +53,15 @@
     auto operator==(const RolloutControllerOptions &) const -> bool = default;
 };
 
+/// A process of a VM. What was heard of a VM's earlier process says nothing of its present one.
+struct VmProcess
+{
+    VmId vm;
+    std::string incarnation;
+
+    auto operator<=>(const VmProcess &) const = default;
+};
+
 /// What a controller knows at the time of a step.
 struct RolloutInputs
 {
@@ -63,7 +73,7 @@
     bool keyed = false; ///< the service's servers own keys
     /// For a keyed service: servers that own keys.
     std::set<BackendServerId> keyOwners = {};
-    std::set<VmId> liveVms = {}; ///< all VMs that may send requests
+    std::set<VmProcess> liveVms = {}; ///< all that may send requests
     bool serversKnown = true; ///< the registry was read; before that no step is due
 };
 
@@ -74,7 +84,7 @@
     RolloutController(ServiceId service, const RolloutControllerOptions &options);
 
     /// Adds a VM's report. Reports on other records than the newest are ignored.
-    auto onReport(const VmId &from, const RolloutReport &report, TimePoint now) -> void;
+    auto onReport(const VmProcess &from, const RolloutReport &report, TimePoint now) -> void;
     /// Returns the record to append, or nothing if none is due. The same record is returned again
     /// until the inputs contain it.
     [[nodiscard]] auto step(const RolloutInputs &inputs, TimePoint now)
@@ -92,7 +102,7 @@
         std::vector<const RegisteredServer *> inForce;
         std::vector<const RegisteredServer *> fresh; ///< of the new version, warm
     };
-    // The last word of a VM on its requests.
+    // The last word of a process on its requests.
     struct VmProgress
     {
         std::uint64_t revision = 0;
@@ -110,6 +120,7 @@
                                         const RolloutInputs &inputs)
         -> std::vector<BackendServerId>;
     [[nodiscard]] auto trialShare(std::size_t trialServers, std::size_t inForce) const -> double;
+    [[nodiscard]] auto trialServerLimit(std::size_t inForce, bool keyed) const -> std::size_t;
     [[nodiscard]] auto findCandidates(const RolloutInputs &inputs, TimePoint now) const
         -> Candidates;
     [[nodiscard]] auto hasCapacity(const Candidates &servers) const -> bool;
@@ -125,14 +136,15 @@
     RolloutJudge m_judge;
     Judgement m_judgement;
     std::set<BackendServerId> m_suspects; ///< servers that were taken off the trial
-    LogOffset m_order = 0; ///< of the roll-out that the evidence belongs to
+    /// Orders of the roll-out that the evidence belongs to: a repeated one is a further order.
+    std::set<LogOffset> m_orders;
+    std::optional<RolloutRecord> m_followed; ///< newest record that was seen
     bool m_began = false; ///< a step was asked for
     /// Set for a controller that takes over a running roll-out: servers that were announced by then
     /// count as settled, since its view does not tell how long they have been there.
     std::optional<TimePoint> m_tookOverAt;
-    std::uint64_t m_revision = 0; ///< of the newest record that was seen
-    TimePoint m_revisionSince;
-    std::map<VmId, VmProgress> m_progress;
+    TimePoint m_followedSince;
+    std::map<VmProcess, VmProgress> m_progress;
 };
 
 } // namespace figlanding
--- a/src/core/gateway/rollout_controller.cpp
+++ b/src/core/gateway/rollout_controller.cpp
@@ -30,6 +30,14 @@
     return result;
 }
 
+// A repeated order goes on with the roll-out that runs.
+auto isSameRollout(const RolloutRecord &before, const RolloutRecord &record) -> bool
+{
+    return before.order == record.order
+        || (isRunning(before) && before.version == record.version
+            && before.orderedUnixMs == record.orderedUnixMs);
+}
+
 auto slotsOf(const std::vector<const RegisteredServer *> &servers) -> double
 {
     auto slots = 0.0;
@@ -52,10 +60,10 @@
     , m_judge(options.judge)
 { }
 
-auto RolloutController::onReport(const VmId &from, const RolloutReport &report, TimePoint now)
+auto RolloutController::onReport(const VmProcess &from, const RolloutReport &report, TimePoint now)
     -> void
 {
-    if (report.order != m_order) {
+    if (!m_orders.contains(report.order)) {
         return;
     }
     m_judge.add(report.counts, now);
@@ -97,18 +105,21 @@
     if (!std::exchange(m_began, true) && inputs.record != nullptr && isRunning(*inputs.record)) {
         m_tookOverAt = now;
     }
-    const auto order = inputs.record == nullptr ? LogOffset{0} : inputs.record->order;
-    const auto revision = inputs.record == nullptr ? std::uint64_t{0} : inputs.record->revision;
-    if (order != m_order) {
-        m_order = order;
+    if (inputs.record == nullptr) {
+        return;
+    }
+    const auto &record = *inputs.record;
+    if (!m_followed || !isSameRollout(*m_followed, record)) {
+        m_orders.clear();
         m_judge = RolloutJudge(m_options.judge);
         m_judgement = {};
         m_suspects.clear();
         m_progress.clear();
     }
-    if (revision != m_revision) {
-        m_revision = revision;
-        m_revisionSince = now;
+    m_orders.insert(record.order);
+    if (!m_followed || m_followed->revision != record.revision) {
+        m_followed = record;
+        m_followedSince = now;
     }
 }
 
@@ -192,6 +203,9 @@
     if (m_judgement.bad) {
         return rolledBack(record, m_judgement.reason);
     }
+    if (!hasCapacity(findCandidates(inputs, now))) {
+        return rolledBack(record, "too few servers of the version are left");
+    }
     const auto &shares = m_options.shiftShares;
     const auto step = std::find_if(shares.begin(), shares.end(),
                                    [&](double share) { return share > record.share; });
@@ -205,7 +219,7 @@
         return rolledBack(record, "the time of the order is over");
     }
     const auto hurry = left <= m_options.lastShiftStart;
-    if (!hurry && now - m_revisionSince < m_options.stepInterval) {
+    if (!hurry && now - m_followedSince < m_options.stepInterval) {
         return std::nullopt;
     }
     auto shift = next(record);
@@ -219,12 +233,7 @@
                                          const RolloutInputs &inputs)
     -> std::vector<BackendServerId>
 {
-    const auto share = m_options.maxShare * m_options.shareMargin;
-    const auto wanted = share * static_cast<double>(servers.inForce.size());
-    // Requests are divided by chance, but keys by server: fewer servers keep to the share there.
-    const auto count = inputs.keyed ? std::floor(wanted) : std::ceil(wanted);
-    const auto limit =
-        std::clamp<std::size_t>(static_cast<std::size_t>(count), 1, m_options.maxTrialServers);
+    const auto limit = trialServerLimit(servers.inForce.size(), inputs.keyed);
     auto chosen = std::vector<BackendServerId>{};
     auto usable = std::map<BackendServerId, AvailabilityZoneId>{};
     for (const auto *server : servers.fresh) {
@@ -253,6 +262,16 @@
     return chosen;
 }
 
+// Returns the most servers whose part of all servers in use is within the share. Requests without a
+// key are divided by chance, so that one server never gets more; keys are divided by server.
+auto RolloutController::trialServerLimit(std::size_t inForce, bool keyed) const -> std::size_t
+{
+    const auto share = m_options.maxShare * m_options.shareMargin;
+    const auto count = std::floor(share / (1.0 - share) * static_cast<double>(inForce));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(count), keyed ? 0 : 1,
+                                   m_options.maxTrialServers);
+}
+
 auto RolloutController::trialShare(std::size_t trialServers, std::size_t inForce) const -> double
 {
     const auto allowed = m_options.maxShare * m_options.shareMargin;
@@ -289,7 +308,8 @@
     -> bool
 {
     const auto &onTrial = record.trialServers;
-    return (m_tookOverAt && server.firstSeenAt <= *m_tookOverAt)
+    return record.phase == RolloutPhase::Shift
+        || (m_tookOverAt && server.firstSeenAt <= *m_tookOverAt)
         || std::find(onTrial.begin(), onTrial.end(), server.entry.id) != onTrial.end();
 }
 
@@ -308,7 +328,7 @@
         return server != nullptr && server->entry.version != record.version;
     });
     return !ownsKeys
-        && std::all_of(inputs.liveVms.begin(), inputs.liveVms.end(), [&](const VmId &vm) {
+        && std::all_of(inputs.liveVms.begin(), inputs.liveVms.end(), [&](const VmProcess &vm) {
                const auto progress = m_progress.find(vm);
                return progress != m_progress.end() && progress->second.revision >= record.revision
                    && progress->second.pendingAtOld == 0;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -140,7 +140,9 @@
                    [this](const KeyedRecord &record) { m_fleetFollower.onAppended(record); }})
         , m_rollouts(
               loop, m_store, m_storeView, m_view, m_slots, m_metrics,
-              {.self = m_settings.vm, .controller = {.maxShare = m_settings.trialShare}},
+              {.self = m_settings.vm,
+               .incarnation = m_incarnation,
+               .controller = {.maxShare = m_settings.trialShare}},
               {.isController = [this] { return m_controllerRunner.active(); },
                .send = [this](const auto &vm, const auto &report) { m_link->send(vm, report); },
                .onAppended =
@@ -360,7 +362,7 @@
             return;
         }
         if (const auto *rollout = std::get_if<RolloutReport>(&message.payload)) {
-            m_rollouts.onReport(message.from, *rollout);
+            m_rollouts.onReport(message.from, message.incarnation, *rollout);
             return;
         }
         if (const auto *leases = std::get_if<LeaseReport>(&message.payload)) {
--- a/src/gateway/rollout_runner.h
+++ b/src/gateway/rollout_runner.h
@@ -27,6 +27,7 @@
 struct RolloutRunnerOptions
 {
     VmId self;
+    std::string incarnation; ///< of this VM's process
     RolloutControllerOptions controller; ///< no roll-outs if its maxShare is zero
 };
 
@@ -100,11 +101,13 @@
                                         result, m_loop.now());
     }
     /// Takes over a VM's report, if this VM is the controller.
-    auto onReport(const VmId &from, const RolloutReport &report) -> void
+    /// @param incarnation of the process that sent it
+    auto onReport(const VmId &from, const std::string &incarnation, const RolloutReport &report)
+        -> void
     {
         const auto found = m_controllers.find(report.service);
         if (found != m_controllers.end()) {
-            found->second.onReport(from, report, m_loop.now());
+            found->second.onReport({.vm = from, .incarnation = incarnation}, report, m_loop.now());
         }
     }
     /// Reports what this VM has seen since the last report.
@@ -117,12 +120,12 @@
             }
             const auto report = RolloutReport{.service = service,
                                               .order = record.order,
-                                              .revision = record.revision,
+                                              .revision = m_slots.revisionOf(service),
                                               .pendingAtOld = countPendingAtOld(record),
                                               .counts = m_evidence[service].takeCounts()};
             const auto &controller = m_view.ownership().claim.vm;
             if (controller == m_options.self) {
-                onReport(controller, report);
+                onReport(controller, m_options.incarnation, report);
             } else {
                 m_handlers.send(controller, report);
             }
@@ -232,7 +235,7 @@
                 rule.withheld.insert(version);
             }
         }
-        if (record != nullptr && isRunning(*record) && rule.share < 1.0 && stopsByItself(*record)) {
+        if (record != nullptr && mayStopAlone(rule) && stopsByItself(*record)) {
             rule.share = 0.0;
         }
         return record == nullptr && rule.withheld.empty() ? std::nullopt : std::optional(rule);
@@ -281,12 +284,13 @@
     {
         return m_view.serversKnown() && m_view.state() != nullptr;
     }
-    [[nodiscard]] auto liveVms() const -> std::set<VmId>
+    [[nodiscard]] auto liveVms() const -> std::set<VmProcess>
     {
-        auto result = std::set<VmId>{m_options.self};
+        auto result =
+            std::set<VmProcess>{{.vm = m_options.self, .incarnation = m_options.incarnation}};
         for (const auto &[vm, member] : m_fleet.members()) {
             if (m_fleet.isAlive(member, m_loop.now())) {
-                result.insert(vm);
+                result.insert({.vm = vm, .incarnation = member.incarnation});
             }
         }
         return result;
--- a/tests/unit/rollout_controller_test.cpp
+++ b/tests/unit/rollout_controller_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -17,7 +18,7 @@
 const ServerVersion v1("v1");
 const ServerVersion v2("v2");
 const RouteId lookup("lookup");
-const VmId vm("vm-1");
+const VmProcess vm{.vm = VmId("vm-1"), .incarnation = "p1"};
 
 // A service with twenty servers, one VM with requests, and a controller that may be replaced.
 struct Rollout
@@ -45,6 +46,16 @@
                              .offset = order ? order->offset + 1 : 5};
         orderedAt = now;
     }
+    [[nodiscard]] auto serversOf(const ServerVersion &version) const -> std::vector<BackendServerId>
+    {
+        auto result = std::vector<BackendServerId>{};
+        for (const auto &[id, server] : registry.servers()) {
+            if (server.entry.version == version) {
+                result.push_back(id);
+            }
+        }
+        return result;
+    }
     // Reports 100 ms of requests: 100, divided by the record's share.
     auto report(double failures) -> void
     {
@@ -54,12 +65,20 @@
                                      .pendingAtOld = pendingAtOld};
         const auto tried = static_cast<std::uint32_t>(record->share * 100.0);
         message.counts[{.route = lookup, .server = {}}].successes.at(10) = 100 - tried;
-        for (const auto &server : record->trialServers) {
+        const auto isTrial = record->phase == RolloutPhase::Trial;
+        for (const auto &server : isTrial ? record->trialServers : std::vector<BackendServerId>{}) {
             const auto each = tried / static_cast<std::uint32_t>(record->trialServers.size());
             const auto failed = static_cast<std::uint32_t>(each * failures + 0.5);
             message.counts[{.route = lookup, .server = server}] = {.failures = failed};
             message.counts[{.route = lookup, .server = server}].successes.at(10) = each - failed;
         }
+        const auto fresh = serversOf(record->version);
+        for (std::uint32_t i = 0; !isTrial && i < tried; ++i) { // all new servers get some
+            auto &counts =
+                message.counts[{.route = lookup, .server = fresh[random() % fresh.size()]}];
+            const auto failed = unit(random) < failures;
+            (failed ? counts.failures : counts.successes.at(10)) += 1;
+        }
         exposed += record->phase == RolloutPhase::Trial ? tried : 0;
         controller.onReport(vm, message, now);
     }
@@ -75,7 +94,8 @@
                                                .registry = registry,
                                                .sinceOrder = now - orderedAt,
                                                .unixMs = 1'000'000,
-                                               .liveVms = {vm},
+                                               .keyed = keyed,
+                                               .liveVms = {live},
                                                .serversKnown = serversKnown},
                                               now);
             if (next && storeIsUp) {
@@ -106,6 +126,10 @@
     std::uint32_t exposed = 0; ///< requests on trial
     bool storeIsUp = true;
     bool serversKnown = true;
+    bool keyed = false;
+    VmProcess live = vm;
+    std::mt19937_64 random{1};
+    std::uniform_real_distribution<double> unit{0.0, 1.0};
 };
 
 // A service with an order and servers of the ordered version that are warm a second later.
@@ -126,9 +150,11 @@
     auto rollout = ordered();
     rollout.run(milliseconds(6500));
     CHECK(rollout.phase() == RolloutPhase::Trial);
-    CHECK(rollout.record->trialServers.size() == 2);
+    CHECK(rollout.record->trialServers.size() == 1); // of 21 in use: two were more than the share
     CHECK(rollout.exposed > 60);
-    rollout.run(seconds(6));
+    rollout.run(milliseconds(2500)); // until two thirds of the time
+    CHECK(rollout.phase() == RolloutPhase::Trial);
+    rollout.run(milliseconds(3500));
     CHECK(rollout.phase() == RolloutPhase::Completed);
     CHECK(rollout.record->withheld == std::vector{v1});
 }
@@ -234,6 +260,77 @@
     CHECK(poolsOf(rules, old) == std::vector{choosePool(rules, service, false, 0.5)});
 }
 
+TEST_CASE("a roll-out is not completed on the word of a process that has ended since")
+{
+    auto rollout = ordered();
+    rollout.run(seconds(10));
+    rollout.live.incarnation = "p2"; // reports of p1 are still on their way
+    rollout.run(milliseconds(2500));
+    CHECK(rollout.phase() == RolloutPhase::Shift);
+    CHECK(rollout.record->share == 1.0);
+}
+
+TEST_CASE("new servers that are lost during the shift are missed before the old ones go")
+{
+    auto rollout = ordered();
+    rollout.pendingAtOld = 1;
+    SUBCASE("while the share rises")
+    {
+        rollout.run(milliseconds(9500));
+    }
+    SUBCASE("while requests are left at the replaced servers")
+    {
+        rollout.run(milliseconds(11'500));
+    }
+    CHECK(rollout.phase() == RolloutPhase::Shift);
+    for (int i = 0; i < 10; ++i) {
+        rollout.registry.remove(BackendServerId(std::string("v2-").append(std::to_string(i))),
+                                rollout.now);
+    }
+    CHECK(rollout.registry.expire(rollout.now));
+    rollout.pendingAtOld = 0;
+    rollout.run(milliseconds(100));
+    CHECK(rollout.phase() == RolloutPhase::RolledBack);
+}
+
+TEST_CASE("a trial keeps to the share in a small service, also where keys are divided by server")
+{
+    auto rollout = Rollout{};
+    rollout.addServers(v1, 8, start - seconds(60));
+    rollout.addServers(v2, 8, start - seconds(60));
+    SUBCASE("with keys: no server is small enough")
+    {
+        rollout.keyed = true;
+        rollout.give(v2);
+        rollout.run(seconds(14));
+        CHECK(rollout.exposed == 0);
+        CHECK(rollout.phase() == RolloutPhase::RolledBack);
+    }
+    SUBCASE("without: chance divides the requests")
+    {
+        rollout.give(v2);
+        rollout.run(seconds(4));
+        CHECK(rollout.record->trialServers.size() == 1);
+        CHECK(rollout.record->share < 0.081);
+    }
+}
+
+TEST_CASE("a repeated order keeps the evidence against a version")
+{
+    auto rollout = ordered();
+    rollout.run(milliseconds(3300));
+    CHECK(rollout.record->share > 0.0);
+    const auto before = rollout.controller.judgement().responses;
+    rollout.run(milliseconds(400));
+    const auto seen = rollout.controller.judgement().responses;
+    CHECK(seen > before);
+    const auto orderedAt = rollout.orderedAt;
+    rollout.give(v2);
+    rollout.orderedAt = orderedAt;
+    rollout.run(milliseconds(300));
+    CHECK(rollout.controller.judgement().responses > seen);
+}
+
 TEST_CASE("a store that is away until after the deadline leaves the share, then rolls back")
 {
     auto rollout = ordered();
@@ -331,7 +428,7 @@
     auto report = RolloutReport{.service = service, .order = 7, .revision = 3, .pendingAtOld = 2};
     report.counts[{.route = lookup, .server = BackendServerId("v2-1")}] = {.failures = 4};
     report.counts[{.route = lookup, .server = {}}].successes.at(35) = 11;
-    const auto message = FleetMessage{.from = vm, .incarnation = "i", .payload = report};
+    const auto message = FleetMessage{.from = vm.vm, .incarnation = "i", .payload = report};
     const auto sameMessage = [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(received, decodeFleetMessage(encodeFleetMessage(message)));
         return received == message;
