--- a/src/core/gateway/rollout_controller.cpp
+++ b/src/core/gateway/rollout_controller.cpp
@@ -1,5 +1,7 @@
 #include "figlanding/gateway/rollout_controller.h"
 
+#include "figlanding/gateway/ordered_version.h"
+
 #include <algorithm>
 #include <cmath>
 #include <string>
@@ -28,6 +30,14 @@
     return result;
 }
 
+// A repeated order goes on with the roll-out that runs.
+auto isSameRollout(const RolloutRecord &before, const RolloutRecord &record) -> bool
+{
+    return before.order == record.order
+        || (isRunning(before) && before.version == record.version
+            && before.orderedUnixMs == record.orderedUnixMs);
+}
+
 auto slotsOf(const std::vector<const RegisteredServer *> &servers) -> double
 {
     auto slots = 0.0;
@@ -50,10 +60,10 @@
     , m_judge(options.judge)
 { }
 
-auto RolloutController::onReport(const VmId &from, const RolloutReport &report, TimePoint now)
+auto RolloutController::onReport(const VmProcess &from, const RolloutReport &report, TimePoint now)
     -> void
 {
-    if (report.order != m_order) {
+    if (!m_orders.contains(report.order)) {
         return;
     }
     m_judge.add(report.counts, now);
@@ -63,6 +73,9 @@
 auto RolloutController::step(const RolloutInputs &inputs, TimePoint now)
     -> std::optional<RolloutRecord>
 {
+    if (!inputs.serversKnown) {
+        return std::nullopt;
+    }
     follow(inputs, now);
     const auto *order = inputs.order;
     const auto *record = inputs.record;
@@ -89,18 +102,24 @@
 // Begins evidence anew for another roll-out, and notes since when the newest record is known.
 auto RolloutController::follow(const RolloutInputs &inputs, TimePoint now) -> void
 {
-    const auto order = inputs.record == nullptr ? LogOffset{0} : inputs.record->order;
-    const auto revision = inputs.record == nullptr ? std::uint64_t{0} : inputs.record->revision;
-    if (order != m_order) {
-        m_order = order;
+    if (!std::exchange(m_began, true) && inputs.record != nullptr && isRunning(*inputs.record)) {
+        m_tookOverAt = now;
+    }
+    if (inputs.record == nullptr) {
+        return;
+    }
+    const auto &record = *inputs.record;
+    if (!m_followed || !isSameRollout(*m_followed, record)) {
+        m_orders.clear();
         m_judge = RolloutJudge(m_options.judge);
         m_judgement = {};
         m_suspects.clear();
         m_progress.clear();
     }
-    if (revision != m_revision) {
-        m_revision = revision;
-        m_revisionSince = now;
+    m_orders.insert(record.order);
+    if (!m_followed || m_followed->revision != record.revision) {
+        m_followed = record;
+        m_followedSince = now;
     }
 }
 
@@ -121,6 +140,14 @@
         record.withheld = before->withheld;
         std::erase(record.withheld, order.version);
     }
+    const auto isInForce = hasServersOf(inputs.registry, m_service, order.version)
+        && !hasServersBeside(inputs.registry, m_service, order.version,
+                             {record.withheld.begin(), record.withheld.end()});
+    if (isInForce) {
+        record.revision -= 1; // completed() counts it
+        record = completed(record, inputs, "the version is in force already");
+        record.share = 1.0;
+    }
     return record;
 }
 
@@ -176,18 +203,23 @@
     if (m_judgement.bad) {
         return rolledBack(record, m_judgement.reason);
     }
+    if (!hasCapacity(findCandidates(inputs, now))) {
+        return rolledBack(record, "too few servers of the version are left");
+    }
     const auto &shares = m_options.shiftShares;
     const auto step = std::find_if(shares.begin(), shares.end(),
                                    [&](double share) { return share > record.share; });
     if (step == shares.end()) {
         const auto done = nothingAtOld(inputs) || left <= m_options.completionMargin;
-        return done ? std::optional(completed(inputs)) : std::nullopt;
+        return done
+            ? std::optional(completed(record, inputs, "no request is left at the replaced servers"))
+            : std::nullopt;
     }
     if (left <= Duration::zero()) {
         return rolledBack(record, "the time of the order is over");
     }
     const auto hurry = left <= m_options.lastShiftStart;
-    if (!hurry && now - m_revisionSince < m_options.stepInterval) {
+    if (!hurry && now - m_followedSince < m_options.stepInterval) {
         return std::nullopt;
     }
     auto shift = next(record);
@@ -201,12 +233,7 @@
                                          const RolloutInputs &inputs)
     -> std::vector<BackendServerId>
 {
-    const auto share = m_options.maxShare * m_options.shareMargin;
-    const auto wanted = share * static_cast<double>(servers.inForce.size());
-    // Requests are divided by chance, but keys by server: fewer servers keep to the share there.
-    const auto count = inputs.keyed ? std::floor(wanted) : std::ceil(wanted);
-    const auto limit =
-        std::clamp<std::size_t>(static_cast<std::size_t>(count), 1, m_options.maxTrialServers);
+    const auto limit = trialServerLimit(servers.inForce.size(), inputs.keyed);
     auto chosen = std::vector<BackendServerId>{};
     auto usable = std::map<BackendServerId, AvailabilityZoneId>{};
     for (const auto *server : servers.fresh) {
@@ -235,6 +262,16 @@
     return chosen;
 }
 
+// Returns the most servers whose part of all servers in use is within the share. Requests without a
+// key are divided by chance, so that one server never gets more; keys are divided by server.
+auto RolloutController::trialServerLimit(std::size_t inForce, bool keyed) const -> std::size_t
+{
+    const auto share = m_options.maxShare * m_options.shareMargin;
+    const auto count = std::floor(share / (1.0 - share) * static_cast<double>(inForce));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(count), keyed ? 0 : 1,
+                                   m_options.maxTrialServers);
+}
+
 auto RolloutController::trialShare(std::size_t trialServers, std::size_t inForce) const -> double
 {
     const auto allowed = m_options.maxShare * m_options.shareMargin;
@@ -257,10 +294,7 @@
             continue;
         }
         if (entry.version == record.version) {
-            // A controller that has just started sees all servers for the first time.
-            const auto &onTrial = record.trialServers;
-            const auto known = std::find(onTrial.begin(), onTrial.end(), id) != onTrial.end();
-            if (known ? now >= server.coldUntil : !isSettling(server, now)) {
+            if (isKnown(record, server) ? now >= server.coldUntil : !isSettling(server, now)) {
                 result.fresh.push_back(&server);
             }
         } else if (std::find(withheld.begin(), withheld.end(), entry.version) == withheld.end()) {
@@ -270,6 +304,15 @@
     return result;
 }
 
+auto RolloutController::isKnown(const RolloutRecord &record, const RegisteredServer &server) const
+    -> bool
+{
+    const auto &onTrial = record.trialServers;
+    return record.phase == RolloutPhase::Shift
+        || (m_tookOverAt && server.firstSeenAt <= *m_tookOverAt)
+        || std::find(onTrial.begin(), onTrial.end(), server.entry.id) != onTrial.end();
+}
+
 auto RolloutController::hasCapacity(const Candidates &servers) const -> bool
 {
     return !servers.fresh.empty()
@@ -285,16 +328,17 @@
         return server != nullptr && server->entry.version != record.version;
     });
     return !ownsKeys
-        && std::all_of(inputs.liveVms.begin(), inputs.liveVms.end(), [&](const VmId &vm) {
+        && std::all_of(inputs.liveVms.begin(), inputs.liveVms.end(), [&](const VmProcess &vm) {
                const auto progress = m_progress.find(vm);
                return progress != m_progress.end() && progress->second.revision >= record.revision
                    && progress->second.pendingAtOld == 0;
            });
 }
 
-auto RolloutController::completed(const RolloutInputs &inputs) const -> RolloutRecord
+auto RolloutController::completed(const RolloutRecord &record, const RolloutInputs &inputs,
+                                  std::string reason) const -> RolloutRecord
 {
-    auto result = next(*inputs.record);
+    auto result = next(record);
     result.phase = RolloutPhase::Completed;
     result.trialServers.clear();
     auto old = std::set<ServerVersion>(result.withheld.begin(), result.withheld.end());
@@ -304,7 +348,7 @@
         }
     }
     result.withheld.assign(old.begin(), old.end());
-    result.reason = "no request is left at the replaced servers";
+    result.reason = std::move(reason);
     return result;
 }
 
--- a/src/gateway/rollout_runner.h
+++ b/src/gateway/rollout_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/gateway/fleet_view.h"
+#include "figlanding/gateway/ordered_version.h"
 #include "figlanding/gateway/rollout_controller.h"
 #include "figlanding/gateway/version_arrivals.h"
 #include "gateway/rollout_log.h"
@@ -26,6 +27,7 @@
 struct RolloutRunnerOptions
 {
     VmId self;
+    std::string incarnation; ///< of this VM's process
     RolloutControllerOptions controller; ///< no roll-outs if its maxShare is zero
 };
 
@@ -99,11 +101,13 @@
                                         result, m_loop.now());
     }
     /// Takes over a VM's report, if this VM is the controller.
-    auto onReport(const VmId &from, const RolloutReport &report) -> void
+    /// @param incarnation of the process that sent it
+    auto onReport(const VmId &from, const std::string &incarnation, const RolloutReport &report)
+        -> void
     {
         const auto found = m_controllers.find(report.service);
         if (found != m_controllers.end()) {
-            found->second.onReport(from, report, m_loop.now());
+            found->second.onReport({.vm = from, .incarnation = incarnation}, report, m_loop.now());
         }
     }
     /// Reports what this VM has seen since the last report.
@@ -116,12 +120,12 @@
             }
             const auto report = RolloutReport{.service = service,
                                               .order = record.order,
-                                              .revision = record.revision,
+                                              .revision = m_slots.revisionOf(service),
                                               .pendingAtOld = countPendingAtOld(record),
                                               .counts = m_evidence[service].takeCounts()};
             const auto &controller = m_view.ownership().claim.vm;
             if (controller == m_options.self) {
-                onReport(controller, report);
+                onReport(controller, m_options.incarnation, report);
             } else {
                 m_handlers.send(controller, report);
             }
@@ -218,8 +222,11 @@
         auto rule = record == nullptr ? VersionRule{.basePool = service} : ruleOf(*record);
         rule.keyed = isKeyed(service);
         const auto awaitsRecord = known != nullptr
-            && (record == nullptr || record->order < known->order.offset)
-            && rule.version != known->order.version;
+            && isWithheldUntilRecord({.order = known->order,
+                                      .record = record,
+                                      .isNew = known->isNew,
+                                      .recordsRead = m_view.ownership().end > 0},
+                                     m_view.registry());
         if (awaitsRecord) {
             rule.withheld.insert(known->order.version);
         }
@@ -228,7 +235,7 @@
                 rule.withheld.insert(version);
             }
         }
-        if (record != nullptr && isRunning(*record) && rule.share < 1.0 && stopsByItself(*record)) {
+        if (record != nullptr && mayStopAlone(rule) && stopsByItself(*record)) {
             rule.share = 0.0;
         }
         return record == nullptr && rule.withheld.empty() ? std::nullopt : std::optional(rule);
@@ -271,12 +278,19 @@
                                  : Duration(milliseconds(unixMs - record->orderedUnixMs));
     }
 
-    [[nodiscard]] auto liveVms() const -> std::set<VmId>
+    // Returns whether the registry is complete: servers of a service that is not configured yet are
+    // not in it.
+    [[nodiscard]] auto serversKnown() const -> bool
     {
-        auto result = std::set<VmId>{m_options.self};
+        return m_view.serversKnown() && m_view.state() != nullptr;
+    }
+    [[nodiscard]] auto liveVms() const -> std::set<VmProcess>
+    {
+        auto result =
+            std::set<VmProcess>{{.vm = m_options.self, .incarnation = m_options.incarnation}};
         for (const auto &[vm, member] : m_fleet.members()) {
             if (m_fleet.isAlive(member, m_loop.now())) {
-                result.insert(vm);
+                result.insert({.vm = vm, .incarnation = member.incarnation});
             }
         }
         return result;
@@ -315,7 +329,8 @@
                                            .unixMs = unixMs,
                                            .keyed = isKeyed(service),
                                            .keyOwners = keyOwners(service),
-                                           .liveVms = liveVms()},
+                                           .liveVms = liveVms(),
+                                           .serversKnown = serversKnown()},
                                           m_loop.now());
         if (next) {
             append(*next, controller.judgement());
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -292,13 +292,13 @@
 {
     const auto &service = rollout.service.value();
     const auto &version = rollout.version.value();
-    m_impl->rolloutShare.get(service + ' ' + version, {{"service", service}, {"version", version}})
-        .Set(rollout.share);
+    const auto name = service + ' ' + version;
+    m_impl->rolloutShare.get(name, {{"service", service}, {"version", version}}).Set(rollout.share);
     for (const auto phase : {RolloutPhase::Trial, RolloutPhase::Shift, RolloutPhase::Completed,
                              RolloutPhase::RolledBack}) {
         const auto text = std::string(figlanding::toText(phase));
         m_impl->rolloutPhase
-            .get(service + ' ' + version + ' ' + text,
+            .get(std::string(name).append(1, ' ').append(text),
                  {{"service", service}, {"version", version}, {"phase", text}})
             .Set(phase == rollout.phase ? 1.0 : 0.0);
     }
--- a/tests/unit/version_rules_test.cpp
+++ b/tests/unit/version_rules_test.cpp
@@ -1,3 +1,4 @@
+#include "figlanding/gateway/ordered_version.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/version_arrivals.h"
 #include "figlanding/gateway/version_rules.h"
@@ -90,6 +91,8 @@
     const auto pool = choosePool(rules, service, true, 0.99);
     CHECK_FALSE(allowsRequests(rules, server("o1", "v1")));
     CHECK(poolsOf(rules, server("n2", "v2")) == std::vector{pool});
+    // It would raise the number of groups of the new pool.
+    CHECK(poolsOf(rules, server("o1", "v1")) == std::vector{service});
     CHECK(poolsOf(rules, server("x1", "v9")) == std::vector{pool});
     CHECK_FALSE(mayWaitAt(rules, service, service));
 }
@@ -129,3 +132,47 @@
     CHECK(arrivals.heldBack(service, later) == std::set<ServerVersion>{ServerVersion("v2")});
     CHECK(arrivals.heldBack(service, later + seconds(2)).empty());
 }
+
+TEST_CASE("an ordered version waits for its record only beside another one that may serve")
+{
+    const auto order =
+        RolloutOrder{.service = service, .version = ServerVersion("v2"), .offset = 9};
+    auto registry = ServerRegistry{};
+    registry.announce(server("n1", "v2"), start);
+    CHECK_FALSE(isWithheldUntilRecord({.order = order, .isNew = true}, registry));
+    registry.announce(server("o1", "v1"), start);
+    CHECK(isWithheldUntilRecord({.order = order, .isNew = true}, registry));
+    CHECK(isWithheldUntilRecord({.order = order}, registry));
+    // This VM has started after a roll-out, whose old servers are not removed yet.
+    CHECK_FALSE(isWithheldUntilRecord({.order = order, .recordsRead = false}, registry));
+    // The order carried out, and another one before it that withholds v1.
+    auto before = record(RolloutPhase::Completed, 1.0);
+    before.order = 9;
+    CHECK_FALSE(isWithheldUntilRecord({.order = order, .record = &before}, registry));
+    before.order = 4;
+    before.version = ServerVersion("v0");
+    CHECK(isWithheldUntilRecord({.order = order, .record = &before}, registry));
+    before.withheld = {ServerVersion("v1")};
+    CHECK_FALSE(isWithheldUntilRecord({.order = order, .record = &before}, registry));
+}
+
+TEST_CASE("a VM does not stop by itself where the new servers own keys that have moved")
+{
+    auto rule = ruleOf(record(RolloutPhase::Trial, 0.08));
+    CHECK(mayStopAlone(rule));
+    rule.keyed = true;
+    CHECK(mayStopAlone(rule));
+    rule.phase = RolloutPhase::Shift;
+    CHECK_FALSE(mayStopAlone(rule));
+    rule.keyed = false;
+    CHECK(mayStopAlone(rule));
+    rule.share = 1.0;
+    CHECK_FALSE(mayStopAlone(rule));
+}
+
+TEST_CASE("a rule names the record that it comes from, so that a VM can tell what it follows")
+{
+    auto shift = record(RolloutPhase::Shift, 0.5);
+    shift.revision = 7;
+    CHECK(ruleOf(shift).revision == 7);
+}
