--- a/tests/unit/slot_load.cpp
+++ b/tests/unit/slot_load.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-SlotLoad::SlotLoad(std::vector<LoadedServer> servers, std::uint64_t seed)
+SlotLoad::SlotLoad(const std::vector<LoadedServer> &servers, std::uint64_t seed)
     : m_broker({}, seed)
     , m_random(seed)
     , m_now(TimePoint{} + seconds(100))
--- a/tests/unit/slot_load.h
+++ b/tests/unit/slot_load.h
@@ -48,7 +48,7 @@
 class SlotLoad
 {
 public:
-    SlotLoad(std::vector<LoadedServer> servers, std::uint64_t seed);
+    SlotLoad(const std::vector<LoadedServer> &servers, std::uint64_t seed);
 
     /// Plays load for a time, and then until every caller has an outcome.
     auto run(const std::vector<LoadedRoute> &routes, Duration time)
