--- a/tests/unit/rollout_controller_test.cpp
+++ b/tests/unit/rollout_controller_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
 #include <optional>
 #include <random>
 #include <string>
@@ -68,7 +69,7 @@
         const auto isTrial = record->phase == RolloutPhase::Trial;
         for (const auto &server : isTrial ? record->trialServers : std::vector<BackendServerId>{}) {
             const auto each = tried / static_cast<std::uint32_t>(record->trialServers.size());
-            const auto failed = static_cast<std::uint32_t>(each * failures + 0.5);
+            const auto failed = static_cast<std::uint32_t>(std::lround(each * failures));
             message.counts[{.route = lookup, .server = server}] = {.failures = failed};
             message.counts[{.route = lookup, .server = server}].successes.at(10) = each - failed;
         }
