--- a/include/figlanding/gateway/rollout_controller.h
+++ b/include/figlanding/gateway/rollout_controller.h
@@ -102,7 +102,7 @@
         std::vector<const RegisteredServer *> inForce;
         std::vector<const RegisteredServer *> fresh; ///< of the new version, warm
     };
-    // The last word of a process on its requests.
+    // The latest report of a process.
     struct VmProgress
     {
         std::uint64_t revision = 0;
--- a/include/figlanding/gateway/version_rules.h
+++ b/include/figlanding/gateway/version_rules.h
@@ -63,8 +63,8 @@
 /// itself. Not where the version's servers own keys that have moved: their requests have no other
 /// servers.
 [[nodiscard]] auto mayStopAlone(const VersionRule &rule) -> bool;
-/// Returns the pool that may run a request for which @p pool has no room: a caller does not pay for
-/// a trial. Empty if there is none.
+/// Returns the pool that may run a request for which @p pool has no room: no request is refused
+/// because of a trial. Empty if there is none.
 [[nodiscard]] auto fallbackPool(const VersionRules &rules, const ServiceId &service,
                                 const ServiceId &pool) -> std::optional<ServiceId>;
 
