--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "figlanding/gateway/key_loads.h"
 #include "figlanding/gateway/server_registry.h"
 #include "gateway/fleet_link.h"
+#include "gateway/follower_log.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/group_log.h"
 #include "gateway/key_controller_runner.h"
@@ -295,16 +296,8 @@
                 [this, name, &topicOutage](const Error &error) {
                     beginOutage(topicOutage, name, error, m_loop.now());
                 },
-            .onReplaced =
-                [this, name](const ReplacedRead &read) {
-                    m_metrics.countReplacedRead(name);
-                    const auto sentFor = std::chrono::duration_cast<milliseconds>(read.sentFor);
-                    logEvent(LogLevel::Info, "read-replaced",
-                             {{"topic", name},
-                              {"ms", sentFor.count()},
-                              {"unanswered", read.unanswered},
-                              {"behind", read.behind}});
-                },
+            .onEvent = [log = FollowerLog(name, m_metrics)](
+                           const FollowerEvent &event) mutable { log.add(event); },
             .relay = [this](const TopicUpdate &update) { m_link->sendToAll(update); },
             .rank =
                 [this](const std::string &topic) { return m_view.rankOf(topic, m_loop.now()); }};
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_log.h"
 
+#include "gateway/log_values.h"
 #include "io/log.h"
 
 #include <string>
@@ -10,11 +11,6 @@
 
 constexpr std::uint64_t sampleInterval = 32; ///< one of this many ordinary requests is logged
 
-auto toMs(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 } // namespace
 
 auto toText(const ServerRejection &rejection) -> std::string
--- a/src/gateway/slot_log.cpp
+++ b/src/gateway/slot_log.cpp
@@ -1,5 +1,6 @@
 #include "gateway/slot_log.h"
 
+#include "gateway/log_values.h"
 #include "io/log.h"
 
 #include <utility>
@@ -10,11 +11,6 @@
 
 constexpr seconds reportInterval{1};
 
-auto toMs(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 } // namespace
 
 SlotLog::SlotLog(Metrics &metrics, std::string process)
--- a/src/gateway/suspension_watch.cpp
+++ b/src/gateway/suspension_watch.cpp
@@ -1,5 +1,6 @@
 #include "gateway/suspension_watch.h"
 
+#include "gateway/log_values.h"
 #include "io/log.h"
 
 #include <chrono>
@@ -17,7 +18,7 @@
     if (suspended == Duration::zero()) {
         return false;
     }
-    const auto ms = std::chrono::duration_cast<milliseconds>(suspended).count();
+    const auto ms = toMs(suspended);
     logEvent(LogLevel::Warning, "suspended", {{"ms", ms}});
     return true;
 }
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -3,6 +3,7 @@
 #include "figlanding/gateway/fleet_messages.h"
 #include "figlanding/gateway/relay_schedule.h"
 #include "figlanding/gateway/store.h"
+#include "gateway/follower_events.h"
 #include "io/event_loop.h"
 #include "io/log.h"
 
@@ -32,16 +33,6 @@
     milliseconds catchUpPause{200}; ///< time for missing records to be relayed before a read
 };
 
-/// A read that was replaced by another one, because the store did not respond to it.
-struct ReplacedRead
-{
-    Duration sentFor{}; ///< time since the read was sent
-    std::size_t unanswered = 0; ///< reads in flight, this one included
-    LogOffset behind = 0; ///< records that another VM has and this one lacks
-
-    auto operator==(const ReplacedRead &) const -> bool = default;
-};
-
 /// Callbacks of TopicFollower.
 struct TopicFollowerHandlers
 {
@@ -58,8 +49,8 @@
     std::function<void(TimePoint sentAt, LogOffset end)> onRead;
     /// Called after each failed read.
     std::function<void(const Error &)> onFailure;
-    /// Called when a read replaces one that is still in flight. May be empty.
-    std::function<void(const ReplacedRead &)> onReplaced = {};
+    /// Called with each event for logs and metrics. May be empty.
+    std::function<void(const FollowerEvent &)> onEvent = {};
     /// Relays records to the other VMs.
     std::function<void(const TopicUpdate &)> relay;
     /// Returns how many live VMs precede this one as readers of the topic.
@@ -224,6 +215,7 @@
             return;
         }
         m_catchUpTimer.startOnce(m_options.catchUpPause);
+        reportMissing();
         if (m_consecutiveFailures > 0) {
             return;
         }
@@ -232,15 +224,38 @@
         } else if (m_schedule.hasTimedOut(std::max(m_sentAt, m_progressAt), m_replaced,
                                           m_loop.now())) {
             m_replaced += 1;
-            if (m_handlers.onReplaced) {
-                m_handlers.onReplaced({.sentFor = m_loop.now() - m_sentAt,
-                                       .unanswered = m_unanswered,
-                                       .behind = m_peerEnd - m_nextOffset});
-            }
+            report(ReplacedRead{.sentFor = m_loop.now() - m_sentAt,
+                                .unanswered = m_unanswered,
+                                .behind = m_peerEnd - m_nextOffset});
             readNext(true);
         }
     }
 
+    auto report(const FollowerEvent &event) const -> void
+    {
+        if (m_handlers.onEvent) {
+            m_handlers.onEvent(event);
+        }
+    }
+    // Reports once that records are missing.
+    auto reportMissing() -> void
+    {
+        if (!std::exchange(m_reportedMissing, true)) {
+            report(RecordsMissing{.missingFor = m_loop.now() - m_behindSince,
+                                  .next = m_nextOffset,
+                                  .peerEnd = m_peerEnd,
+                                  .failures = m_consecutiveFailures});
+        }
+    }
+    // Reports that no record is missing any more, if that some are missing was reported.
+    auto reportComplete() -> void
+    {
+        if (m_nextOffset >= m_peerEnd && std::exchange(m_reportedMissing, false)) {
+            report(
+                RecordsComplete{.missingFor = m_loop.now() - m_behindSince, .next = m_nextOffset});
+        }
+    }
+
     // Drops a claim of another VM that a read refutes. Reads of the store are linearizable, so one
     // that began after a true claim shows its records. A later claim of the same end counts anew.
     auto checkPeerEnd(const Read &read, LogOffset end) -> void
@@ -251,6 +266,7 @@
         logEvent(LogLevel::Warning, "topic-end-refuted",
                  {{"topic", m_options.topic}, {"claimed", m_peerEnd}, {"end", end}});
         m_peerEnd = end;
+        reportComplete();
     }
 
     // Applies the new records of an update. Returns false if earlier records are missing, or if the
@@ -296,6 +312,7 @@
             }
         }
         m_nextOffset = std::max(m_nextOffset, next);
+        reportComplete();
     }
 
     // Applies new records and relays those that changed something, in batches of
@@ -335,6 +352,7 @@
         m_nextOffset = std::max(m_nextOffset, next);
         batch.next = m_nextOffset;
         m_handlers.relay(batch);
+        reportComplete();
     }
 
     // A read that another one has replaced still counts if its response arrives.
@@ -356,6 +374,7 @@
             m_hasSnapshot = true;
             m_nextOffset = snapshot.value().end;
             m_handlers.onSnapshot(snapshot.value().records);
+            reportComplete();
         }
         m_confirmedAt = std::max(m_confirmedAt, read.sentAt);
         if (replaced) {
@@ -455,6 +474,7 @@
     LogOffset m_peerEnd = 0; ///< highest end offset that another VM reported and no read refuted
     std::uint64_t m_peerEndRead = 0; ///< number of the last read before that report
     TimePoint m_behindSince; ///< since when this VM has known that another one has read more
+    bool m_reportedMissing = false; ///< and not that no record is missing any more
     bool m_hasSnapshot = false; ///< a snapshot was read at least once
     bool m_needsSnapshot = true; ///< the next read is one of the snapshot
     bool m_hadGap = false; ///< since the last page that was read
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -124,6 +124,9 @@
     MetricCache<prometheus::Counter> replacedReads{registerCounterFamily(
         registry, "figlanding_store_reads_replaced_total",
         "Reads of the store that were replaced while they were in flight, by topic.")};
+    MetricCache<prometheus::Counter> missingRecords{registerCounterFamily(
+        registry, "figlanding_records_missing_total",
+        "Times in which records that another VM has were missing for long, by topic.")};
     MetricCache<prometheus::Counter> retries{registerCounterFamily(
         registry, "figlanding_retries_total", "Second and later attempts at a request, by cause.")};
     MetricCache<prometheus::Counter> dispatches{registerCounterFamily(
@@ -250,6 +253,11 @@
     m_impl->replacedReads.get(topic, {{"topic", topic}}).Increment();
 }
 
+auto Metrics::countMissingRecords(const std::string &topic) -> void
+{
+    m_impl->missingRecords.get(topic, {{"topic", topic}}).Increment();
+}
+
 auto Metrics::setHeldBytes(const HeldBytes &heldBytes) -> void
 {
     for (std::size_t index = 0; index < heldKinds; ++index) {
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -76,6 +76,9 @@
     /// Counts a read of the store that was replaced while it was in flight.
     /// @param topic "configuration", "servers" or "fleet"
     auto countReplacedRead(const std::string &topic) -> void;
+    /// Counts a time in which records that another VM has were missing.
+    /// @param topic "configuration", "servers" or "fleet"
+    auto countMissingRecords(const std::string &topic) -> void;
     /// Sets the bytes that are held, and how often bytes did not fit, by kind.
     auto setHeldBytes(const HeldBytes &heldBytes) -> void;
     /// Sets the number of connections of callers that were closed because they stalled.
--- a/tests/contract/metrics_test.cpp
+++ b/tests/contract/metrics_test.cpp
@@ -21,6 +21,7 @@
     metrics.countResponse(BodyEnd::ConnectionEnd);
     metrics.countUnexpectedInput();
     metrics.countReplacedRead("configuration");
+    metrics.countMissingRecords("servers");
     metrics.setUnservedKeys("lease", 12);
     metrics.countRetry("not-run");
     metrics.countRetry("not-run");
@@ -45,6 +46,7 @@
         R"(figlanding_responses_total{body_end="connection-end"} 1)",
         "figlanding_unexpected_inputs_total 1",
         R"(figlanding_store_reads_replaced_total{topic="configuration"} 1)",
+        R"(figlanding_records_missing_total{topic="servers"} 1)",
         R"(figlanding_retries_total{cause="not-run"} 2)",
         R"(figlanding_dispatches_total{server="s1",verdict="may-have-run"} 1)",
         R"(figlanding_server_queue_length{server="s1"} 4)",
--- a/tests/contract/slow_link_test.cpp
+++ b/tests/contract/slow_link_test.cpp
@@ -48,7 +48,10 @@
                                       },
                                   .onRead = [](TimePoint, LogOffset) {},
                                   .onFailure = [this](const Error &) { ++failures; },
-                                  .onReplaced = [this](const ReplacedRead &) { ++replaced; },
+                                  .onEvent =
+                                      [this](const FollowerEvent &event) {
+                                          replaced += std::holds_alternative<ReplacedRead>(event);
+                                      },
                                   .relay = [](const TopicUpdate &) {},
                                   .rank = [](const std::string &) { return std::size_t{3}; }});
         proxy.setFaults({.linkBytesPerSecond = bytesPerSecond});
