--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -115,6 +115,7 @@
             return;
         }
         m_needsSnapshot = false;
+        m_consecutiveFailures = 0;
         m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - update.age);
         m_schedule.onRelayReceived(m_loop.now());
         if (m_timer.active()) {
@@ -207,8 +208,8 @@
             m_schedule.delay(m_handlers.rank(m_options.topic), pause, failed, m_loop.now()));
     }
 
-    // Reads the records that another VM has and this one lacks. After a failed read it does
-    // nothing: the retry schedule decides when to read again.
+    // Reads the records that another VM has and this one lacks, but not during the pause after a
+    // failed read.
     auto catchUp() -> void
     {
         if (!m_hasSnapshot || m_peerEnd <= m_nextOffset) {
@@ -216,7 +217,7 @@
         }
         m_catchUpTimer.startOnce(m_options.catchUpPause);
         reportMissing();
-        if (m_consecutiveFailures > 0) {
+        if (m_loop.now() < m_retryAt) {
             return;
         }
         if (m_timer.active()) {
@@ -461,7 +462,9 @@
     {
         m_consecutiveFailures += 1;
         m_handlers.onFailure(error);
-        scheduleRead(m_schedule.pauseAfterFailure(m_consecutiveFailures), true);
+        const auto pause = m_schedule.pauseAfterFailure(m_consecutiveFailures);
+        m_retryAt = m_loop.now() + pause;
+        scheduleRead(pause, true);
     }
 
     EventLoop &m_loop;
@@ -478,7 +481,9 @@
     bool m_hasSnapshot = false; ///< a snapshot was read at least once
     bool m_needsSnapshot = true; ///< the next read is one of the snapshot
     bool m_hadGap = false; ///< since the last page that was read
-    std::uint32_t m_consecutiveFailures = 0; ///< failed reads in a row
+    /// Failed reads in a row, since the last one that succeeded or the last relay that was applied.
+    std::uint32_t m_consecutiveFailures = 0;
+    TimePoint m_retryAt; ///< end of the pause after the last failed read
     /// Number of the last read. Responses to earlier reads, which it replaced because they were
     /// late, are applied only if they contain new records: over a slow link every one may be late.
     std::uint64_t m_readNumber = 0;
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -67,6 +67,11 @@
     {
         return m_snapshot != nullptr;
     }
+    // Returns when the reads of pages were sent.
+    [[nodiscard]] auto reads() const -> const std::vector<TimePoint> &
+    {
+        return m_reads;
+    }
     [[nodiscard]] auto snapshotReads() const -> std::size_t
     {
         return m_snapshotReads.size();
@@ -111,6 +116,10 @@
     {
         return figlanding::testing::runUntil(loop, condition, limit);
     }
+    auto relay(LogOffset from, LogOffset next) -> void
+    {
+        follower.onRelayReceived({.topic = "t", .from = from, .next = next});
+    }
     // Answers the read in flight with no record beyond @p end, and waits for the next read.
     auto respondEmpty(LogOffset end) -> void
     {
@@ -377,3 +386,44 @@
     REQUIRE(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(3000)));
     CHECK(following.store.lastRead().from == 11);
 }
+
+// Guards against requests to a server that drains unseen by VMs that once failed to read.
+TEST_CASE("records that are missing are read soon by a VM whose last read failed long ago")
+{
+    auto following = Following{};
+    following.rank = 90; // waits longer than the bound for relays
+    following.startAndFail(0);
+    following.fail(ErrorCode::LogUnavailable);
+    for (auto i = 0; i < 5; ++i) {
+        following.relay(10, 10);
+        REQUIRE_FALSE(
+            following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(100)));
+    }
+    following.relay(12, 13);
+    CHECK(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(800)));
+}
+
+TEST_CASE("records that are missing are not read before the pause after a failed read is over")
+{
+    auto following = Following{};
+    following.rank = 90;
+    following.startAndFail(0);
+    const auto failedAt = following.loop.now();
+    following.fail(ErrorCode::LogUnavailable);
+    following.relay(12, 13);
+    REQUIRE(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(3000)));
+    CHECK(following.store.reads().back() - failedAt >= RelayScheduleOptions{}.initialRetryDelay);
+}
+
+TEST_CASE("a failed read is the first of a row if relays were applied after the failures before it")
+{
+    auto following = Following{};
+    following.rank = 90;
+    following.startAndFail(4);
+    following.fail(ErrorCode::LogUnavailable);
+    following.relay(10, 10);
+    following.relay(12, 13);
+    REQUIRE(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(3000)));
+    following.fail(ErrorCode::LogUnavailable);
+    CHECK(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(800)));
+}
