--- a/src/gateway/follower_events.h
+++ b/src/gateway/follower_events.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figlanding/clock.h"
+#include "figlanding/error.h"
 #include "figlanding/names.h"
 
 #include <cstddef>
@@ -42,6 +43,24 @@
     auto operator==(const RecordsComplete &) const -> bool = default;
 };
 
-using FollowerEvent = std::variant<ReplacedRead, RecordsMissing, RecordsComplete>;
+/// The first failed read of an outage of the store.
+struct StoreLost
+{
+    Error error;
+
+    auto operator==(const StoreLost &) const -> bool = default;
+};
+
+/// The store is known to answer reads again.
+struct StoreRegained
+{
+    LogOffset end = 0; ///< offset after the last record that this VM knows of
+    bool relayed = false; ///< another VM read, not this one
+
+    auto operator==(const StoreRegained &) const -> bool = default;
+};
+
+using FollowerEvent =
+    std::variant<ReplacedRead, RecordsMissing, RecordsComplete, StoreLost, StoreRegained>;
 
 } // namespace figlanding
--- a/src/gateway/follower_log.cpp
+++ b/src/gateway/follower_log.cpp
@@ -44,4 +44,15 @@
              {{"topic", m_name}, {"ms", toMs(records.missingFor)}, {"next", records.next}});
 }
 
+auto FollowerLog::write(const StoreLost &lost) -> void
+{
+    logEvent(LogLevel::Warning, "store-lost", {{"topic", m_name}, {"error", describe(lost.error)}});
+}
+
+auto FollowerLog::write(const StoreRegained &regained) -> void
+{
+    logEvent(LogLevel::Info, "store-regained",
+             {{"topic", m_name}, {"offset", regained.end}, {"relayed", regained.relayed}});
+}
+
 } // namespace figlanding
--- a/src/gateway/follower_log.h
+++ b/src/gateway/follower_log.h
@@ -24,6 +24,8 @@
     auto write(const ReplacedRead &read) -> void;
     auto write(const RecordsMissing &records) -> void;
     auto write(const RecordsComplete &records) -> void;
+    auto write(const StoreLost &lost) -> void;
+    auto write(const StoreRegained &regained) -> void;
 
     std::string m_name;
     Metrics &m_metrics;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -80,15 +80,17 @@
         , m_store(m_storeClient, m_settings.store)
         , m_commandSender(m_commandClient)
         , m_view(m_settings.vm, m_settings.cpuShare, {})
-        , m_storeView(loop,
-                      {.onMember =
-                           [this](const MemberRecord &member) {
-                               m_view.setAddress(member.vm, member.incarnation, member.address);
-                           },
-                       .onOwnership =
-                           [this](const OwnershipView &view) { m_controllerRunner.onView(view); },
-                       .onRolloutOrder = [this](const auto &order,
-                                                bool isNew) { m_rollouts.onOrder(order, isNew); }})
+        , m_storeView(
+              loop,
+              {.onMember =
+                   [this](const MemberRecord &member) {
+                       m_view.setAddress(member.vm, member.incarnation, member.address);
+                   },
+               .onOwnership =
+                   [this](const OwnershipView &view) { m_controllerRunner.onView(view); },
+               .onRolloutOrder = [this](const auto &order,
+                                        bool isNew) { m_rollouts.onOrder(order, isNew); },
+               .lastServersOutageEnd = [this] { return m_serverFollower.outage().lastEnd(); }})
         , m_limits({}, loop.now())
         , m_slots(
               {.self = m_settings.vm,
@@ -151,7 +153,7 @@
         , m_operatorFollower(
               loop, m_store, {.topic = Platform::operatorTopic, .wait = milliseconds(1200)},
               followerHandlers(
-                  "configuration", m_operatorOutage,
+                  "configuration",
                   [this](const auto &record) {
                       m_storeView.onOperatorRecord(record);
                       return true;
@@ -160,19 +162,22 @@
         , m_serverFollower(
               loop, m_store, {.topic = Platform::serverTopic, .pause = milliseconds(500)},
               followerHandlers(
-                  "servers", m_storeView.serversOutage(),
+                  "servers",
                   [this](const auto &record) { return m_storeView.onServerRecord(record); },
                   [this](const auto &records) { m_storeView.onServerSnapshot(records); }))
         , m_fleetFollower(loop, m_store,
                           {.topic = Platform::fleetTopic, .wait = milliseconds(2000)},
                           followerHandlers(
-                              "fleet", m_fleetOutage,
+                              "fleet",
                               [this](const auto &record) {
                                   m_storeView.onFleetRecord(record);
                                   return true;
                               },
                               [this](const auto &records) { m_storeView.onFleetSnapshot(records); },
-                              [this](const auto &record) { return m_storeView.shortened(record); }))
+                              [this](const auto &record) { return m_storeView.shortened(record); },
+                              [this](TimePoint sentAt, LogOffset) {
+                                  m_controllerRunner.onOwnershipRead(sentAt);
+                              }))
         , m_tickTimer(loop, [this] { tick(); })
         , m_heartbeatTimer(loop, [this] { sendHeartbeat(); })
         , m_workReportTimer(loop, [this] { sendWorkReport(); })
@@ -277,25 +282,16 @@
     }
 
     template <typename OnRecord, typename OnSnapshot>
-    auto followerHandlers(const char *name, Outage &topicOutage, OnRecord onRecord,
-                          OnSnapshot onSnapshot, const RecordShortener &shorten = {})
+    auto followerHandlers(const char *name, OnRecord onRecord, OnSnapshot onSnapshot,
+                          const RecordShortener &shorten = {},
+                          std::function<void(TimePoint, LogOffset)> onRead = {})
         -> TopicFollowerHandlers
     {
         return {
             .onSnapshot = std::move(onSnapshot),
             .onRecord = std::move(onRecord),
             .shorten = shorten,
-            .onRead =
-                [this, name, &topicOutage](TimePoint sentAt, LogOffset end) {
-                    endOutage(topicOutage, name, end, m_loop.now());
-                    if (&topicOutage == &m_fleetOutage) {
-                        m_controllerRunner.onOwnershipRead(sentAt);
-                    }
-                },
-            .onFailure =
-                [this, name, &topicOutage](const Error &error) {
-                    beginOutage(topicOutage, name, error, m_loop.now());
-                },
+            .onRead = std::move(onRead),
             .onEvent = [log = FollowerLog(name, m_metrics)](
                            const FollowerEvent &event) mutable { log.add(event); },
             .relay = [this](const TopicUpdate &update) { m_link->sendToAll(update); },
@@ -549,8 +545,6 @@
     RequestPath<typename Platform::Protocol> m_path;
     KeyControllerRunner<StoreType, typename Platform::KeyLeaseClientType> m_controllerRunner;
     RolloutRunner<Platform> m_rollouts;
-    Outage m_operatorOutage;
-    Outage m_fleetOutage;
     Follower m_operatorFollower;
     Follower m_serverFollower;
     Follower m_fleetFollower;
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -4,7 +4,6 @@
 #include "figlanding/gateway/fleet_records.h"
 #include "figlanding/gateway/server_registry.h"
 #include "figlanding/gateway/store.h"
-#include "gateway/outage.h"
 #include "io/event_loop.h"
 #include "io/log.h"
 
@@ -33,6 +32,9 @@
     /// Called with each order of a roll-out, and whether it is new: not part of a snapshot. May be
     /// empty.
     std::function<void(const RolloutOrder &, bool isNew)> onRolloutOrder = {};
+    /// Returns when the last outage of the servers' topic ended; nothing if there was none. May be
+    /// empty.
+    std::function<std::optional<TimePoint>()> lastServersOutageEnd = {};
 };
 
 /// Applies the records of the three topics. The records of a topic must come in the order of their
@@ -67,11 +69,6 @@
     {
         return m_serversKnown;
     }
-    /// Returns the outage of the servers' topic, which the reader of the topic updates.
-    [[nodiscard]] auto serversOutage() -> Outage &
-    {
-        return m_serversOutage;
-    }
     /// Returns whether the servers, or configuration that affects them, changed since the last
     /// call. Removes servers whose deferred removal is due.
     [[nodiscard]] auto takeServersChanged(TimePoint now) -> bool
@@ -299,12 +296,18 @@
 
     auto removeServer(const BackendServerId &id, TimePoint now) -> void
     {
-        const auto outageRecent =
-            m_serversOutage.since || now - m_serversOutage.recoveredAt < removalGrace;
-        const auto deferred = outageRecent && m_serversOutage.recoveredAt != TimePoint{};
-        m_registry.remove(id, deferred ? now + removalGrace : now);
+        const auto due = std::max(now, removalsAllowedFrom());
+        m_registry.remove(id, due);
         m_serversChanged = true;
-        logEvent(LogLevel::Info, "server-gone", {{"server", id.value()}, {"deferred", deferred}});
+        logEvent(LogLevel::Info, "server-gone", {{"server", id.value()}, {"deferred", due > now}});
+    }
+
+    // Returns the end of the grace period after the last outage of the servers' topic.
+    [[nodiscard]] auto removalsAllowedFrom() const -> TimePoint
+    {
+        const auto end =
+            m_handlers.lastServersOutageEnd ? m_handlers.lastServersOutageEnd() : std::nullopt;
+        return end ? *end + removalGrace : TimePoint{};
     }
 
     auto applyFleetRecord(const KeyedRecord &record) -> void
@@ -342,8 +345,8 @@
         table = std::move(next);
     }
 
-    /// Grace period before a server is removed after an outage of the store. Entries that expired
-    /// during the outage are renewed within two seconds.
+    /// No server is removed for this time after the end of an outage. Entries that expired during
+    /// the outage are renewed within two seconds of its end.
     static constexpr milliseconds removalGrace{2300};
 
     EventLoop &m_loop;
@@ -353,7 +356,6 @@
     std::map<BackendServerId, ServerEntry> m_setAside; ///< of services that are not configured
     bool m_serversKnown = false;
     bool m_serversChanged = false;
-    Outage m_serversOutage;
     OwnershipView m_ownership;
     std::map<ServiceId, RolloutRecord> m_rollouts;
 };
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -3,6 +3,7 @@
 #include "figlanding/gateway/fleet_messages.h"
 #include "figlanding/gateway/relay_schedule.h"
 #include "figlanding/gateway/store.h"
+#include "figlanding/gateway/store_outage.h"
 #include "gateway/follower_events.h"
 #include "io/event_loop.h"
 #include "io/log.h"
@@ -43,12 +44,11 @@
     /// Returns a shorter record with the same effect on a receiver that has applied all earlier
     /// ones, or nothing. Called before onRecord. May be empty.
     std::function<std::optional<KeyedRecord>(const KeyedRecord &)> shorten;
-    /// Called after each successful read that reached the end of the topic.
+    /// Called after each successful read of this VM that reached the end of the topic. May be
+    /// empty.
     /// @param sentAt when the read was sent
     /// @param end offset after the last record
-    std::function<void(TimePoint sentAt, LogOffset end)> onRead;
-    /// Called after each failed read.
-    std::function<void(const Error &)> onFailure;
+    std::function<void(TimePoint sentAt, LogOffset end)> onRead = {};
     /// Called with each event for logs and metrics. May be empty.
     std::function<void(const FollowerEvent &)> onEvent = {};
     /// Relays records to the other VMs.
@@ -107,6 +107,7 @@
     /// Applies an update that another VM relayed.
     auto onRelayReceived(const TopicUpdate &update) -> void
     {
+        noteAnswer(m_loop.now() - update.age, update.next, true);
         if (!m_hasSnapshot || update.next < m_nextOffset) {
             return;
         }
@@ -146,6 +147,11 @@
     {
         return m_nextOffset < m_peerEnd && m_loop.now() - m_behindSince > delay;
     }
+    /// Returns the outages of the store, as the reads of this topic show them.
+    [[nodiscard]] auto outage() const -> const StoreOutage &
+    {
+        return m_outage;
+    }
     [[nodiscard]] auto topic() const -> const std::string &
     {
         return m_options.topic;
@@ -193,6 +199,9 @@
                       .onProgress = [this] { m_progressAt = m_loop.now(); }},
                      [this, current](const Settled<KeyedPage> &page) {
                          m_unanswered -= 1;
+                         if (page) {
+                             noteAnswer(m_loop.now(), page.value().end, false);
+                         }
                          if (current.number == m_readNumber) {
                              onPage(current, page);
                          } else if (page) {
@@ -232,6 +241,26 @@
         }
     }
 
+    // Comes before the records of the answer are applied: how they are applied depends on when the
+    // store was back.
+    auto noteAnswer(TimePoint answeredAt, LogOffset end, bool relayed) -> void
+    {
+        if (m_outage.onAnswer(answeredAt, m_loop.now())) {
+            report(StoreRegained{.end = end, .relayed = relayed});
+        }
+    }
+    auto noteFailure(const Error &error) -> void
+    {
+        if (m_outage.onFailure(m_loop.now())) {
+            report(StoreLost{.error = error});
+        }
+    }
+    auto reportRead(const Read &read) const -> void
+    {
+        if (m_handlers.onRead) {
+            m_handlers.onRead(read.sentAt, m_nextOffset);
+        }
+    }
     auto report(const FollowerEvent &event) const -> void
     {
         if (m_handlers.onEvent) {
@@ -366,6 +395,7 @@
             }
             return;
         }
+        noteAnswer(m_loop.now(), snapshot.value().end, false);
         m_needsSnapshot = false;
         checkPeerEnd(read, snapshot.value().end);
         // Records that were relayed meanwhile may be newer than the snapshot. Those from before the
@@ -383,7 +413,7 @@
         }
         m_consecutiveFailures = 0;
         m_replaced = 0;
-        m_handlers.onRead(read.sentAt, m_nextOffset);
+        reportRead(read);
         m_timer.startOnce(m_options.pause);
     }
 
@@ -425,7 +455,7 @@
             return;
         }
         m_confirmedAt = std::max(m_confirmedAt, m_loop.now() - age);
-        m_handlers.onRead(read.sentAt, m_nextOffset);
+        reportRead(read);
         const auto pause = m_options.pause - (m_loop.now() - read.sentAt);
         scheduleRead(std::max<Duration>(Duration::zero(), pause));
     }
@@ -453,7 +483,7 @@
             return;
         }
         // The store is available, so there is nothing to wait for.
-        m_handlers.onFailure(error);
+        noteFailure(error);
         m_consecutiveFailures = 0;
         m_timer.startOnce(Duration::zero());
     }
@@ -461,7 +491,7 @@
     auto onFailure(const Error &error) -> void
     {
         m_consecutiveFailures += 1;
-        m_handlers.onFailure(error);
+        noteFailure(error);
         const auto pause = m_schedule.pauseAfterFailure(m_consecutiveFailures);
         m_retryAt = m_loop.now() + pause;
         scheduleRead(pause, true);
@@ -472,6 +502,7 @@
     TopicFollowerOptions m_options;
     TopicFollowerHandlers m_handlers;
     RelaySchedule m_schedule;
+    StoreOutage m_outage;
     Timer m_timer;
     Timer m_catchUpTimer;
     LogOffset m_peerEnd = 0; ///< highest end offset that another VM reported and no read refuted
--- a/tests/contract/slow_link_test.cpp
+++ b/tests/contract/slow_link_test.cpp
@@ -47,10 +47,10 @@
                                           return true;
                                       },
                                   .onRead = [](TimePoint, LogOffset) {},
-                                  .onFailure = [this](const Error &) { ++failures; },
                                   .onEvent =
                                       [this](const FollowerEvent &event) {
                                           replaced += std::holds_alternative<ReplacedRead>(event);
+                                          failures += std::holds_alternative<StoreLost>(event);
                                       },
                                   .relay = [](const TopicUpdate &) {},
                                   .rank = [](const std::string &) { return std::size_t{3}; }});
--- a/tests/contract/store_view_test.cpp
+++ b/tests/contract/store_view_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,8 +63,12 @@
     }
 
     EventLoop loop;
+    std::optional<TimePoint> lastOutageEnd;
     StoreView<platform::PlatformTraits> store{
-        loop, {.onMember = [](const auto &) {}, .onOwnership = [](const auto &) {}}};
+        loop,
+        {.onMember = [](const auto &) {},
+         .onOwnership = [](const auto &) {},
+         .lastServersOutageEnd = [this] { return lastOutageEnd; }}};
 };
 
 } // namespace
@@ -142,3 +147,27 @@
     view.configure(2, {"rooms", "new"});
     CHECK(view.known() == ServerEntry{});
 }
+
+// Guards against requests to a server that is gone, from VMs that defer its removal anew.
+TEST_CASE("a server that is gone is removed once the grace period after an outage is over")
+{
+    const auto grace = milliseconds(2300);
+    auto view = View();
+    view.store.onServerRecord(entry({}));
+    view.lastOutageEnd = view.loop.now() - seconds(1);
+    view.store.onServerRecord({.offset = 2, .key = server.server.value(), .value = {}});
+    CHECK(view.store.takeServersChanged(*view.lastOutageEnd + grace - milliseconds(1)));
+    CHECK(view.known().id == server.server);
+    CHECK(view.store.takeServersChanged(*view.lastOutageEnd + grace));
+    CHECK(view.known().id.empty());
+}
+
+TEST_CASE("a server that is gone long after an outage is removed at once")
+{
+    auto view = View();
+    view.store.onServerRecord(entry({}));
+    view.lastOutageEnd = view.loop.now() - seconds(3);
+    view.store.onServerRecord({.offset = 2, .key = server.server.value(), .value = {}});
+    CHECK(view.store.takeServersChanged(view.loop.now()));
+    CHECK(view.known().id.empty());
+}
--- a/tests/contract/topic_follower_test.cpp
+++ b/tests/contract/topic_follower_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/topic_follower.h"
 #include "run_until.h"
+#include "scripted_store.h"
 
 #include <doctest/doctest.h>
 
@@ -9,84 +10,10 @@
 #include <vector>
 
 using namespace figlanding;
+using figlanding::testing::ScriptedStore;
 
 namespace {
 
-// A store whose responses the test chooses. Records the time of each read.
-class ScriptedStore
-{
-public:
-    explicit ScriptedStore(EventLoop &loop)
-        : m_loop(loop)
-    { }
-
-    auto read(const ReadRequest &request, std::function<void(Settled<KeyedPage>)> callback) -> void
-    {
-        m_lastRead = request;
-        m_reads.push_back(m_loop.now());
-        m_latePage = std::exchange(m_page, std::move(callback));
-    }
-    auto readNewest(const NewestRequest &, std::function<void(Settled<KeyedSnapshot>)> callback)
-        -> void
-    {
-        m_snapshotReads.push_back(m_loop.now());
-        m_snapshot = std::move(callback);
-    }
-    auto append(const AppendRequest &, const std::function<void(Settled<LogOffset>)> &) -> void
-    { }
-    auto joinGroup(const GroupRequest &, const std::function<void(Settled<bool>)> &) -> void
-    { }
-    auto leaveGroup(const GroupRequest &) -> void
-    { }
-
-    auto respond(Settled<KeyedPage> page) -> void
-    {
-        std::exchange(m_page, nullptr)(std::move(page));
-    }
-    auto respond(Settled<KeyedSnapshot> snapshot) -> void
-    {
-        std::exchange(m_snapshot, nullptr)(std::move(snapshot));
-    }
-    auto respondToReplacedRead(Settled<KeyedPage> page) -> void
-    {
-        std::exchange(m_latePage, nullptr)(std::move(page));
-    }
-    [[nodiscard]] auto hasReplacedRead() const -> bool
-    {
-        return m_latePage != nullptr;
-    }
-    [[nodiscard]] auto awaitsPage() const -> bool
-    {
-        return m_page != nullptr;
-    }
-    [[nodiscard]] auto lastRead() const -> const ReadRequest &
-    {
-        return m_lastRead;
-    }
-    [[nodiscard]] auto awaitsSnapshot() const -> bool
-    {
-        return m_snapshot != nullptr;
-    }
-    // Returns when the reads of pages were sent.
-    [[nodiscard]] auto reads() const -> const std::vector<TimePoint> &
-    {
-        return m_reads;
-    }
-    [[nodiscard]] auto snapshotReads() const -> std::size_t
-    {
-        return m_snapshotReads.size();
-    }
-
-private:
-    EventLoop &m_loop;
-    ReadRequest m_lastRead;
-    std::vector<TimePoint> m_reads;
-    std::vector<TimePoint> m_snapshotReads;
-    std::function<void(Settled<KeyedPage>)> m_page;
-    std::function<void(Settled<KeyedPage>)> m_latePage; ///< of the read before
-    std::function<void(Settled<KeyedSnapshot>)> m_snapshot;
-};
-
 // A follower of rank @ref rank with its store.
 struct Following
 {
@@ -96,6 +23,7 @@
     std::vector<TopicUpdate> relayed;
     int snapshots = 0;
     std::size_t rank = 0;
+    std::function<void()> onRecord = [] {};
     TopicFollower<ScriptedStore> follower{
         loop,
         store,
@@ -104,10 +32,10 @@
          .onRecord =
              [this](const KeyedRecord &record) {
                  applied.push_back(record.key);
+                 onRecord();
                  return true;
              },
          .onRead = [](TimePoint, LogOffset) {},
-         .onFailure = [](const Error &) {},
          .relay = [this](const TopicUpdate &update) { relayed.push_back(update); },
          .rank = [this](const std::string &) { return rank; }}};
 
@@ -427,3 +355,44 @@
     following.fail(ErrorCode::LogUnavailable);
     CHECK(following.runUntil([&] { return following.store.awaitsPage(); }, milliseconds(800)));
 }
+
+// Guards against VMs that take the store for lost, long after its return, as they need not read it.
+TEST_CASE("a relay of what another VM read since ends an outage")
+{
+    auto following = Following{};
+    following.rank = 90;
+    following.startAndFail(0);
+    following.fail(ErrorCode::LogUnavailable);
+    following.runUntil([] { return false; }, milliseconds(900));
+    const auto before = following.loop.now();
+    following.follower.onRelayReceived(
+        {.topic = "t", .from = 10, .next = 10, .age = milliseconds(2000)});
+    CHECK_FALSE(following.follower.outage().lastEnd());
+    following.relay(10, 10);
+    REQUIRE(following.follower.outage().lastEnd());
+    CHECK(*following.follower.outage().lastEnd() >= before);
+}
+
+TEST_CASE("an outage is over before the records that end it are applied")
+{
+    for (const auto relayed : {false, true}) {
+        CAPTURE(relayed);
+        auto following = Following{};
+        following.rank = 90;
+        following.startAndFail(4);
+        auto overAtRecord = false;
+        following.onRecord = [&] {
+            overAtRecord = following.follower.outage().lastEnd().has_value();
+        };
+        const auto records = std::vector<KeyedRecord>{{.offset = 10, .key = "new"}};
+        if (relayed) {
+            following.follower.onRelayReceived(
+                {.topic = "t", .from = 10, .next = 11, .records = records});
+        } else {
+            following.store.respond(
+                Settled<KeyedPage>(KeyedPage{.end = 11, .next = 11, .records = records}));
+        }
+        CHECK(following.applied.size() == 1);
+        CHECK(overAtRecord);
+    }
+}
