--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -51,6 +51,7 @@
     SocketAddress address; ///< port 0 selects a free port
     std::size_t maxHeaderBytes = 16UL * 1024; ///< a larger header gets status 431
     std::size_t maxBodyBytes = 1024UL * 1024; ///< a larger body gets status 413
+    /// At this number, the connection that has been without a request for longest is closed.
     unsigned maxConnections = 4096;
     seconds idleTimeout{60};
     /// A connection whose caller sends nothing of a body that it owes, or reads nothing of a long
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -83,6 +83,7 @@
     }
     auto &connection = *request->connection;
     connection.current = nullptr;
+    connection.idleSince = static_cast<Impl *>(self)->loop.now();
     if (connection.stallTimeoutSet && code == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
         connection.stallTimeoutSet = false;
         setTimeout(handle, static_cast<Impl *>(self)->options.idleTimeout);
@@ -111,6 +112,7 @@
     }
     auto connection = std::make_unique<ClientConnection>();
     connection->id = server.nextConnectionId++;
+    connection->idleSince = server.loop.now();
     connection->fd = MHD_get_connection_info(handle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     auto event = epoll_event{.events = EPOLLRDHUP | EPOLLET, .data = {.u64 = connection->id}};
     ::epoll_ctl(server.hangUpEpoll.get(), EPOLL_CTL_ADD, connection->fd, &event);
@@ -120,6 +122,26 @@
     }
     *context = connection.get();
     server.connections.emplace(connection->id, std::move(connection));
+    if (server.connections.size() >= server.options.maxConnections) {
+        server.closeLongestIdle();
+    }
+}
+
+// Makes room for the next connection. A request counts from the end of its header on, so that one
+// that never ends is no reason to keep a connection.
+auto HttpServer::Impl::closeLongestIdle() -> void
+{
+    const ClientConnection *longest = nullptr;
+    for (const auto &[id, connection] : connections) {
+        const auto *request = connection->current;
+        const auto idle = request == nullptr || !request->started;
+        if (idle && (longest == nullptr || connection->idleSince < longest->idleSince)) {
+            longest = connection.get();
+        }
+    }
+    if (longest != nullptr) {
+        close(*longest);
+    }
 }
 
 // Notes that the rest of a body is due from now on.
--- a/src/io/http_server_impl.h
+++ b/src/io/http_server_impl.h
@@ -45,6 +45,7 @@
     auto watchForStalls() -> void;
     auto closeStalled() -> void;
     [[nodiscard]] auto takeMemoryShortage() -> bool;
+    auto closeLongestIdle() -> void;
     static auto close(const ClientConnection &connection) -> void;
     auto abandon(ReceivedRequest &request) -> void;
     auto handleHangUps() -> void;
--- a/src/io/http_server_request.h
+++ b/src/io/http_server_request.h
@@ -23,6 +23,7 @@
     std::uint64_t id = 0;
     int fd = -1;
     bool peerClosed = false; ///< the client closed the connection or its sending side
+    TimePoint idleSince; ///< begin of the time without a request, unless there is one
     bool stallTimeoutSet = false; ///< libmicrohttpd has the stall timeout instead of the idle one
     HeldShare fixedCost;
     ReceivedRequest *current = nullptr; ///< null between requests
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -402,3 +402,36 @@
         CHECK(other.readUntil("GET/echo", timeout).find("GET/echo") != std::string::npos);
     }
 }
+
+// Guards against silent connections that keep others out until their idle timeout.
+TEST_CASE("at the limit of connections, the one without a request for longest makes room")
+{
+    EventLoop loop;
+    auto server = valueOrElse(
+        [&] {
+            return HttpServer::listen(
+                loop, {.address = {.ip = "127.0.0.1"}, .maxConnections = 3},
+                [](HttpExchange exchange) { exchange.respond({.status = 200, .body = "done"}); });
+        },
+        [](const Error &) { return std::unique_ptr<HttpServer>(); });
+    REQUIRE(server != nullptr);
+    const auto runFor = [&](milliseconds span) {
+        figlanding::testing::runUntil(
+            loop, [] { return false; }, span);
+    };
+    constexpr auto silent = std::size_t{5};
+    auto crowd = std::deque<RawClient>{};
+    for (std::size_t i = 0; i < silent; ++i) {
+        crowd.emplace_back(server->port());
+        crowd.back().send("GET /begun HTTP/1.1\r\nhost: h\r\n");
+        runFor(milliseconds(50));
+    }
+    auto caller = RawClient(server->port());
+    caller.send("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+    runFor(milliseconds(200));
+    CHECK(caller.readUntil("done", timeout).find("200 OK") != std::string::npos);
+    crowd.front().readAll(milliseconds(50));
+    CHECK(crowd.front().closedByPeer());
+    crowd.back().readAll(milliseconds(50));
+    CHECK_FALSE(crowd.back().closedByPeer());
+}
