--- a/include/figlanding/process_budget.h
+++ b/include/figlanding/process_budget.h
@@ -16,6 +16,8 @@
     HeldBytesOptions heldBytes;
     std::size_t callerConnections = 0;
     std::size_t serverConnections = 0;
+    /// Connections at each of the ports for load balancers and operators.
+    std::size_t operatorConnections = 0;
 
     auto operator==(const ProcessBudget &) const -> bool = default;
 };
@@ -28,7 +30,8 @@
 /// - Memory: the process keeps 32 MiB for its own state, or half of the memory if that is less; an
 ///   eighth of the rest is for small items.
 /// - Descriptors: a quarter, at most 200, is for files and for connections to the store and to
-///   other VMs; of the others, three quarters are for callers and one quarter for servers.
+///   other VMs, an eighth of it for each of the ports for load balancers and operators; of the
+///   others, three quarters are for callers and one quarter for servers.
 [[nodiscard]] auto divide(const ProcessLimits &limits) -> ProcessBudget;
 
 } // namespace figlanding
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -205,9 +205,10 @@
                            [this](HttpExchange exchange) { router->handle(std::move(exchange)); }));
     BOOST_LEAF_ASSIGN(
         adminServer,
-        HttpServer::listen(loop, {.address = settings.listen.admin}, [this](HttpExchange exchange) {
-            exchange.respond(adminResponse(exchange.request(), adminView()));
-        }));
+        HttpServer::listen(loop, {.address = settings.listen.admin, .heldBytes = &heldBytes},
+                           [this](HttpExchange exchange) {
+                               exchange.respond(adminResponse(exchange.request(), adminView()));
+                           }));
     return {};
 }
 
--- a/src/gateway/listeners.h
+++ b/src/gateway/listeners.h
@@ -56,6 +56,18 @@
             .noMemoryResponse = noMemoryResponse};
 }
 
+/// Returns the options of a server for load balancers or operators, whose requests have no body.
+/// @param heldBytes account of this process; must outlive the server
+[[nodiscard]] inline auto operatorServerOptions(const SocketAddress &address,
+                                                const ProcessBudget &budget, HeldBytes &heldBytes)
+    -> HttpServerOptions
+{
+    return {.address = address,
+            .maxBodyBytes = 0,
+            .maxConnections = static_cast<unsigned>(budget.operatorConnections),
+            .heldBytes = &heldBytes};
+}
+
 /// Starts all servers of a gateway.
 /// @param budget of this process
 /// @param heldBytes account of this process; must outlive the servers
@@ -72,13 +84,13 @@
                            std::move(handlers.onRequest)));
     BOOST_LEAF_ASSIGN(
         listeners.readiness,
-        HttpServer::listen(loop, {.address = settings.readiness},
+        HttpServer::listen(loop, operatorServerOptions(settings.readiness, budget, heldBytes),
                            [ready = std::move(handlers.ready)](HttpExchange exchange) {
                                exchange.respond({.status = ready() ? 200 : 503});
                            }));
     BOOST_LEAF_ASSIGN(
         listeners.admin,
-        HttpServer::listen(loop, {.address = settings.admin},
+        HttpServer::listen(loop, operatorServerOptions(settings.admin, budget, heldBytes),
                            [metrics = std::move(handlers.metrics)](HttpExchange exchange) {
                                exchange.respond(metrics());
                            }));
--- a/tests/integration/crowded_vm.cpp
+++ b/tests/integration/crowded_vm.cpp
@@ -102,6 +102,8 @@
 CrowdedVm::CrowdedVm(CrowdedVmLimits limits)
     : m_limits(limits)
     , m_callers{"127.0.0.1", standins::freePort()}
+    , m_readiness{"127.0.0.1", standins::freePort()}
+    , m_admin{"127.0.0.1", standins::freePort()}
     , m_standIns([this] { runStandIns(); })
 {
     REQUIRE(standins::waitUntil([this] { return m_storePort != 0; }, startLimit));
@@ -121,9 +123,11 @@
     constexpr auto maxBodyBytes = std::size_t{64} * 1024 * 1024;
     EventLoop loop;
     standins::PlatformStore store(loop);
-    standins::PlatformServer server(
-        loop,
-        {.id = "ledger-1", .maxBodyBytes = maxBodyBytes, .largeResponseBytes = largeResponseBytes});
+    standins::PlatformServer server(loop,
+                                    {.id = "ledger-1",
+                                     .slots = m_limits.serverSlots,
+                                     .maxBodyBytes = maxBodyBytes,
+                                     .largeResponseBytes = largeResponseBytes});
     if (!succeeds([&] { return store.start(); }) || !succeeds([&] { return server.start(); })) {
         return;
     }
@@ -150,10 +154,10 @@
     const auto address = [] { return "127.0.0.1:" + std::to_string(standins::freePort()); };
     auto settings = std::ostringstream{};
     settings << R"({"vm": "vm-0", "zone": "a", "listen": {"callers": ")" << toText(m_callers)
-             << R"(", "readiness": ")" << address() << R"(", "admin": ")" << address()
-             << R"(", "fleet": ")" << address() << R"("}, "store": "127.0.0.1:)" << m_storePort
-             << R"(", "limits": {"memory_mb": )" << m_limits.memoryMb << R"(, "descriptors": )"
-             << m_limits.descriptors << "}}";
+             << R"(", "readiness": ")" << toText(m_readiness) << R"(", "admin": ")"
+             << toText(m_admin) << R"(", "fleet": ")" << address() << R"("}, "store": "127.0.0.1:)"
+             << m_storePort << R"(", "limits": {"memory_mb": )" << m_limits.memoryMb
+             << R"(, "descriptors": )" << m_limits.descriptors << "}}";
     const auto file = m_directory.path() + "/settings.json";
     REQUIRE(succeeds([&] { return standins::writeFile(file, settings.str()); }));
     REQUIRE(succeeds([&]() -> Result<void> {
@@ -195,6 +199,21 @@
     return false;
 }
 
+auto CrowdedVm::answersAt(std::uint16_t port, const std::string &target) -> bool
+{
+    const auto end = MonotonicClock::now() + serveLimit;
+    while (MonotonicClock::now() < end && m_process->running()) {
+        const auto outcome =
+            callAndWait({m_callers.ip, port}, {.method = "GET", .target = target, .headers = {}},
+                        {.timeout = callTimeout, .connectTimeout = callTimeout});
+        if (outcome.verdict == Verdict::Ran && outcome.response.status == 200) {
+            return true;
+        }
+        std::this_thread::sleep_for(retryInterval);
+    }
+    return false;
+}
+
 auto CrowdedVm::awaitReading() -> void
 {
     constexpr milliseconds limit{20'000};
@@ -250,6 +269,23 @@
     }
 }
 
+auto CrowdCaller::read(std::size_t bytes) -> void
+{
+    auto buffer = std::string(bytes, '\0');
+    static_cast<void>(::recv(m_socket.get(), buffer.data(), buffer.size(), 0));
+}
+
+auto readInTurns(const std::vector<std::unique_ptr<CrowdCaller>> &callers, std::size_t pieceBytes,
+                 std::size_t rounds, milliseconds pause) -> void
+{
+    for (std::size_t round = 0; round < rounds; ++round) {
+        for (const auto &caller : callers) {
+            caller->read(pieceBytes);
+        }
+        std::this_thread::sleep_for(pause);
+    }
+}
+
 auto sendInTurns(const std::vector<std::unique_ptr<CrowdCaller>> &callers, std::string_view text,
                  std::size_t pieceBytes) -> void
 {
--- a/tests/integration/crowded_vm.h
+++ b/tests/integration/crowded_vm.h
@@ -22,6 +22,7 @@
 {
     std::size_t memoryMb = 80;
     std::size_t descriptors = 128;
+    std::uint32_t serverSlots = 2; ///< requests that the server runs at once
 };
 
 /// One process of figlandingd-platform. Its store and its server run on a thread of the test.
@@ -41,12 +42,25 @@
     {
         return m_callers.port;
     }
+    /// Returns the port on which a load balancer asks whether the process is ready.
+    [[nodiscard]] auto readinessPort() const -> std::uint16_t
+    {
+        return m_readiness.port;
+    }
+    /// Returns the port for operators.
+    [[nodiscard]] auto adminPort() const -> std::uint16_t
+    {
+        return m_admin.port;
+    }
     /// Sends a request and waits for the response.
     [[nodiscard]] auto send(const std::string &method, const std::string &target,
                             std::string body = {}) -> HttpOutcome;
     /// Repeats an ordinary request until one gets the response of the server.
     /// @return whether one did before a limit that is far above all timeouts of the process
     [[nodiscard]] auto answersAnOrdinaryCaller() -> bool;
+    /// Repeats a GET of a target at one of the ports until it gets status 200.
+    /// @return whether one did before the same limit
+    [[nodiscard]] auto answersAt(std::uint16_t port, const std::string &target) -> bool;
     /// Waits until the process has read all that its callers have sent, or closed their
     /// connections.
     auto awaitReading() -> void;
@@ -62,6 +76,8 @@
     CrowdedVmLimits m_limits;
     standins::TemporaryDirectory m_directory;
     SocketAddress m_callers;
+    SocketAddress m_readiness;
+    SocketAddress m_admin;
     std::unique_ptr<standins::Process> m_process;
     std::atomic<std::uint16_t> m_storePort{0};
     std::atomic<bool> m_stopping{false};
@@ -69,7 +85,8 @@
     std::thread m_standIns;
 };
 
-/// A connection of a caller that stays open until it is destroyed. It never reads.
+/// A connection of a caller that stays open until it is destroyed. It reads only when it is told
+/// to.
 class CrowdCaller
 {
 public:
@@ -79,6 +96,8 @@
     /// Sends all bytes, or fewer if the peer closes the connection or accepts none for a while.
     /// Once that has happened, later calls send nothing.
     auto send(std::string_view bytes) -> void;
+    /// Reads what has arrived, at most @p bytes.
+    auto read(std::size_t bytes) -> void;
 
 private:
     FileDescriptor m_socket;
@@ -89,4 +108,8 @@
 auto sendInTurns(const std::vector<std::unique_ptr<CrowdCaller>> &callers, std::string_view text,
                  std::size_t pieceBytes) -> void;
 
+/// Lets each caller read a few bytes in each of several rounds.
+auto readInTurns(const std::vector<std::unique_ptr<CrowdCaller>> &callers, std::size_t pieceBytes,
+                 std::size_t rounds, milliseconds pause) -> void;
+
 } // namespace figlanding::testing
--- a/tests/standins/platform_server.cpp
+++ b/tests/standins/platform_server.cpp
@@ -13,8 +13,6 @@
 
 using nlohmann::json;
 
-constexpr int slots = 2;
-
 auto headerOf(const HttpRequest &request, const char *name) -> std::string
 {
     return std::string(request.headers.find(name).value_or(""));
@@ -49,7 +47,7 @@
                 {"Address", toText(address())},
                 {"Zone", zone},
                 {"Version", "v1"},
-                {"MaxConcurrency", slots},
+                {"MaxConcurrency", m_options.slots},
                 {"State", draining ? "draining" : "ready"},
                 {"WarmupRemaining", "0ms"},
                 {"Sequence", sequence},
@@ -163,6 +161,9 @@
     if (pathOf(request.target).find("/large") != std::string_view::npos) {
         response.body.assign(m_options.largeResponseBytes, 'a');
     }
+    if (pathOf(request.target).find("/unframed") != std::string_view::npos) {
+        response.bodyEnd = BodyEnd::ConnectionEnd;
+    }
     addTerms(response);
     m_timers.push_back(std::make_unique<Timer>(
         m_loop, [this, exchange = std::move(exchange), response = std::move(response)]() mutable {
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -22,6 +22,7 @@
     std::string id;
     bool keyed = false; ///< rejects requests for keys that the server does not own
     milliseconds work{20}; ///< duration of a request
+    std::uint32_t slots = 2; ///< requests that it says it runs at once
     bool sheds = false; ///< responds with 503 without running the request
     bool fails = false; ///< runs the request and responds with failureStatus
     int failureStatus = 500;
@@ -30,7 +31,8 @@
     bool leaving = false; ///< says in its responses that it is leaving
     std::string limit; ///< requests per second that it states in its responses; empty: none
     std::size_t maxBodyBytes = 1024UL * 1024; ///< of requests; a larger one gets status 413
-    /// Length of the body that a request for a path with "/large" gets.
+    /// Length of the body that a request for a path with "/large" gets. A path with "/unframed"
+    /// gets a response whose body ends with the connection.
     std::size_t largeResponseBytes = 0;
 };
 
--- a/tests/unit/held_bytes_test.cpp
+++ b/tests/unit/held_bytes_test.cpp
@@ -98,6 +98,7 @@
     CHECK(account.used() < 120'000'000);
     CHECK(budget.callerConnections + budget.serverConnections + 200 <= 3075);
     CHECK(budget.callerConnections > 2000);
+    CHECK(2 * budget.operatorConnections <= 200 / 2);
     CHECK(divide({.memoryBytes = SIZE_MAX, .descriptors = SIZE_MAX}).callerConnections
           == maxCallerConnections);
     CHECK(divide({.memoryBytes = 0, .descriptors = 1}).callerConnections == 1);
