--- a/src/io/received_response.cpp
+++ b/src/io/received_response.cpp
@@ -27,6 +27,12 @@
     return status == 204 || status == 304 || status < 200;
 }
 
+auto noMemory() -> Error
+{
+    return {.code = ErrorCode::LimitExceeded,
+            .detail = "no memory left for the body of the answer"};
+}
+
 auto tooLarge(const std::string &part, std::size_t limit) -> Error
 {
     return {.code = ErrorCode::LimitExceeded,
@@ -85,6 +91,9 @@
     m_response.status = m_head.status();
     m_response.headers = m_head.headers();
     m_error = headError();
+    if (!m_error && !makeRoomForStatedLength()) {
+        m_error = noMemory();
+    }
     return !m_error;
 }
 
@@ -139,14 +148,29 @@
         return false;
     }
     if (!makeRoom(data.size()) || !m_budget.take(m_response.body.size(), data.size())) {
-        m_error = Error{.code = ErrorCode::LimitExceeded,
-                        .detail = "no memory left for the body of the answer"};
+        m_error = noMemory();
         return false;
     }
     m_response.body.append(data);
     return true;
 }
 
+// Makes room for the whole body if its length is stated. Otherwise many bodies that arrive at the
+// same time would each get a part of the memory that is too small for any of them.
+auto ReceivedResponse::makeRoomForStatedLength() -> bool
+{
+    const auto length = m_response.headers.find("content-length");
+    if (!length || hasNoBody()) {
+        return true;
+    }
+    const auto size = static_cast<std::size_t>(parseLength(*length).value_or(0));
+    if (!m_share.growTo(size)) {
+        return false;
+    }
+    m_response.body.reserve(size);
+    return true;
+}
+
 // Makes room in the body, as far as the account allows.
 auto ReceivedResponse::makeRoom(std::size_t size) -> bool
 {
--- a/src/io/received_response.h
+++ b/src/io/received_response.h
@@ -67,6 +67,7 @@
 
 private:
     [[nodiscard]] auto makeRoom(std::size_t size) -> bool;
+    [[nodiscard]] auto makeRoomForStatedLength() -> bool;
     [[nodiscard]] auto hasOtherId() const -> bool;
     [[nodiscard]] auto headError() const -> std::optional<Error>;
     [[nodiscard]] auto hasNoBody() const -> bool;
--- a/tests/contract/http_client_limits_test.cpp
+++ b/tests/contract/http_client_limits_test.cpp
@@ -162,3 +162,20 @@
     client.cancel(id);
     CHECK(client.bufferedBytes() == 0);
 }
+
+// Guards against many long answers that arrive at once, of which none gets the memory it needs.
+TEST_CASE("an answer whose stated length does not fit ends its call before its body is read")
+{
+    auto account = HeldBytes({.limit = 100'000});
+    auto server = RawServer(
+        {{read(), send("HTTP/1.1 200 OK\r\nContent-Length: 100001\r\n\r\n"), step(RawAction::Hold)},
+         {read(), send("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"),
+          send(std::string(100'000, 'a')), step(RawAction::Hold)}});
+    auto client = SyncClient({.heldBytes = &account});
+    const auto tooLong = client.call(server.address(), {.method = "GET", .target = "/"});
+    CHECK(tooLong.error.code == ErrorCode::LimitExceeded);
+    const auto fitting = client.call(server.address(), {.method = "GET", .target = "/"});
+    CHECK(fitting.verdict == Verdict::Ran);
+    CHECK(fitting.response.body.size() == 100'000);
+    CHECK(account.used() == 0);
+}
