--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -374,7 +374,9 @@
                   "Platform.Address": f"127.0.0.1:{store_port}", "Limits.CpuQuota": "0.2",
                   "Heartbeat": "870ms", "Bounds.Propagation": "2000ms", "Bounds.Drain": "2000ms",
                   "Bounds.GracePeriod": "6s", "Bounds.HoldMax": "10000ms",
-                  "Bounds.RetryBudgetRatio": "0.2", "Bounds.BudgetSlack": "60"}
+                  "Bounds.RetryBudgetRatio": "0.2", "Bounds.BudgetSlack": "60",
+                  "#Bounds.CanaryShare": "", "Bounds.CanaryShare": "0.1",
+                  "/Bounds.CanaryShare": "", "Limits.MemoryMb": "260", "Limits.MaxFds": "4100"}
         with open(os.path.join(ROOT, "deploy", "settings.json")) as template:
             return re.sub(r"\{\{([^}]+)\}\}", lambda m: values[m.group(1)], template.read())
 
