--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -131,6 +131,7 @@
     request->connection = static_cast<ClientConnection *>(info->socket_context);
     request->connection->current = request.get();
     request->handle = handle;
+    request->heldBytes = static_cast<Impl *>(self)->options.heldBytes;
     request->onResumed = [server = static_cast<Impl *>(self)] { server->scheduleRun(); };
     request->message.target = uri;
     return request.release();
@@ -157,7 +158,7 @@
     request.started = true;
     collectHeaders(request);
     request.rejection = validateHeader(request, options);
-    if (!request.rejection && !reserve(request, options.heldBytes)) {
+    if (!request.rejection && !reserve(request)) {
         reject(request, noMemoryResponse(request.message, options));
     }
     if (!request.rejection) {
@@ -165,7 +166,7 @@
         return MHD_YES;
     }
     request.rejection->headers.set("connection", "close");
-    return sendTo(request, *request.rejection);
+    return sendRejection(request);
 }
 
 // Frees what was received of a request that the handler will not get.
@@ -199,7 +200,7 @@
 {
     request.awaitsBody = false;
     if (request.rejection) {
-        return sendTo(request, *request.rejection);
+        return sendRejection(request);
     }
     request.dispatched = true;
     ++pending;
@@ -231,13 +232,19 @@
     if (closing || draining) {
         request.response->headers.set("connection", "close");
     }
-    return sendTo(request, *request.response);
+    return sendTo(request, *request.response, std::move(request.responseShare));
 }
 
-auto HttpServer::Impl::sendTo(ReceivedRequest &request, HttpResponse &response) -> MHD_Result
+auto HttpServer::Impl::sendRejection(ReceivedRequest &request) -> MHD_Result
+{
+    return sendTo(request, *request.rejection, holdBody(*request.rejection, options.heldBytes));
+}
+
+auto HttpServer::Impl::sendTo(ReceivedRequest &request, HttpResponse &response, HeldShare share)
+    -> MHD_Result
 {
     const auto isLong = response.body.size() > longResponseBytes;
-    const auto queued = sendResponse(request.handle, response, options.heldBytes);
+    const auto queued = sendResponse(request.handle, response, std::move(share));
     if (queued == MHD_YES && isLong) {
         expectReading(request);
     }
--- a/src/io/http_server_body.cpp
+++ b/src/io/http_server_body.cpp
@@ -27,10 +27,10 @@
 
 } // namespace
 
-auto reserve(ReceivedRequest &request, HeldBytes *heldBytes) -> bool
+auto reserve(ReceivedRequest &request) -> bool
 {
-    request.headerShare = HeldShare(heldBytes, HeldKind::RequestHeader);
-    request.bodyShare = HeldShare(heldBytes, HeldKind::RequestBody);
+    request.headerShare = HeldShare(request.heldBytes, HeldKind::RequestHeader);
+    request.bodyShare = HeldShare(request.heldBytes, HeldKind::RequestBody);
     const auto header = copiesOfHeader * request.headerBytes
         + bytesPerField * request.message.headers.fields().size();
     const auto length = statedLength(request.message.headers);
--- a/src/io/http_server_impl.h
+++ b/src/io/http_server_impl.h
@@ -38,7 +38,8 @@
     auto callHandler(ReceivedRequest &request) -> void;
     auto suspend(ReceivedRequest &request) -> void;
     auto sendStoredResponse(ReceivedRequest &request) -> MHD_Result;
-    auto sendTo(ReceivedRequest &request, HttpResponse &response) -> MHD_Result;
+    auto sendRejection(ReceivedRequest &request) -> MHD_Result;
+    auto sendTo(ReceivedRequest &request, HttpResponse &response, HeldShare share) -> MHD_Result;
     auto reject(ReceivedRequest &request, HttpResponse response) -> void;
     auto expectBody(ReceivedRequest &request) -> void;
     auto expectReading(ReceivedRequest &request) -> void;
--- a/src/io/http_server_request.cpp
+++ b/src/io/http_server_request.cpp
@@ -128,6 +128,8 @@
         return;
     }
     onAbandoned = nullptr;
+    // Other responses may arrive before this one is queued.
+    pending->responseShare = holdBody(response, pending->heldBytes);
     pending->response = std::move(response);
     if (pending->suspended) {
         resume(*pending);
@@ -207,12 +209,15 @@
     request.onResumed();
 }
 
-auto sendResponse(MHD_Connection *handle, HttpResponse &response, HeldBytes *heldBytes)
-    -> MHD_Result
+auto holdBody(const HttpResponse &response, HeldBytes *heldBytes) -> HeldShare
 {
-    // The bytes were charged while the response arrived, and are held whatever happens here.
     auto share = HeldShare(heldBytes, HeldKind::CallerResponse);
     share.hold(response.body.capacity());
+    return share;
+}
+
+auto sendResponse(MHD_Connection *handle, HttpResponse &response, HeldShare share) -> MHD_Result
+{
     auto *native = makeNativeResponse(handle, response, std::move(share));
     if (native == nullptr) {
         return MHD_NO;
--- a/src/io/http_server_request.h
+++ b/src/io/http_server_request.h
@@ -34,6 +34,7 @@
 {
     ClientConnection *connection = nullptr;
     MHD_Connection *handle = nullptr;
+    HeldBytes *heldBytes = nullptr; ///< account of the server; may be null
     HttpRequest message;
     std::size_t headerBytes = 0;
     std::size_t discardedBytes = 0; ///< of the body of a rejected request
@@ -51,6 +52,7 @@
     TimePoint lastReceivedAt; ///< last part of the body
     HeldShare headerShare;
     HeldShare bodyShare;
+    HeldShare responseShare; ///< of the handler's response, until it is queued
 };
 
 /// State shared by the copies of one HttpExchange.
@@ -84,7 +86,7 @@
     -> std::optional<HttpResponse>;
 /// Charges the header, and the body if its length is stated, and makes room for the body.
 /// @return whether they fit
-[[nodiscard]] auto reserve(ReceivedRequest &request, HeldBytes *heldBytes) -> bool;
+[[nodiscard]] auto reserve(ReceivedRequest &request) -> bool;
 /// Frees and releases what was received of the body.
 auto discardBody(ReceivedRequest &request) -> void;
 /// Adds a part of the body. The part of a body without a stated length is charged as it arrives.
@@ -100,9 +102,13 @@
 auto resume(ReceivedRequest &request) -> void;
 /// Queues a response with libmicrohttpd.
 /// @param response its body is moved out and held until its last byte was written
-/// @param heldBytes account that the body is charged to; may be null
+/// @param share of the body, as holdBody() returns it
 /// @return MHD_NO if it can't be queued, which closes the connection
-[[nodiscard]] auto sendResponse(MHD_Connection *handle, HttpResponse &response,
-                                HeldBytes *heldBytes) -> MHD_Result;
+[[nodiscard]] auto sendResponse(MHD_Connection *handle, HttpResponse &response, HeldShare share)
+    -> MHD_Result;
+/// Charges the body of a response, which is held whether or not it fits: its bytes were let in
+/// while they arrived.
+/// @param heldBytes may be null
+[[nodiscard]] auto holdBody(const HttpResponse &response, HeldBytes *heldBytes) -> HeldShare;
 
 } // namespace figlanding
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -435,3 +435,34 @@
     crowd.back().readAll(milliseconds(50));
     CHECK_FALSE(crowd.back().closedByPeer());
 }
+
+// Guards against responses that are let in beside others which wait to be written.
+TEST_CASE("a response counts as held from the moment at which it is given")
+{
+    constexpr auto bodyBytes = std::size_t{1'000'000};
+    EventLoop loop;
+    auto account = HeldBytes();
+    auto exchanges = std::vector<HttpExchange>{};
+    auto server = valueOrElse(
+        [&] {
+            return HttpServer::listen(
+                loop, {.address = {.ip = "127.0.0.1"}, .heldBytes = &account},
+                [&](HttpExchange exchange) { exchanges.push_back(std::move(exchange)); });
+        },
+        [](const Error &) { return std::unique_ptr<HttpServer>(); });
+    REQUIRE(server != nullptr);
+    auto callers = std::deque<RawClient>{};
+    for (auto i = 0; i < 3; ++i) {
+        callers.emplace_back(server->port());
+        callers.back().send("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+    }
+    REQUIRE(figlanding::testing::runUntil(
+        loop, [&] { return exchanges.size() == callers.size(); }, timeout));
+    for (auto &exchange : exchanges) {
+        exchange.respond({.status = 200, .body = std::string(bodyBytes, 'a')});
+    }
+    CHECK(account.used(HeldKind::CallerResponse) >= callers.size() * bodyBytes);
+    exchanges.clear();
+    server.reset();
+    CHECK(account.used() == 0);
+}
