Move options and batches of the topic follower into files of their own

Cause: topic_follower.h had grown to 529 lines, with settings, the division of records into datagrams, and the follower itself.

Change: topic_follower_options.h holds settings and callbacks, relay_batches.h (no template) the records worth relaying and their division. No decision changes.

Measured: 37 contract tests of followers, links, leaving servers and gateways pass; topic_follower.h has 452 lines.

--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -1,19 +1,14 @@
 #pragma once
 
-#include "figlanding/gateway/fleet_messages.h"
 #include "figlanding/gateway/relay_schedule.h"
 #include "figlanding/gateway/store.h"
 #include "figlanding/gateway/store_outage.h"
-#include "gateway/follower_events.h"
+#include "gateway/relay_batches.h"
+#include "gateway/topic_follower_options.h"
 #include "io/event_loop.h"
 #include "io/log.h"
 
 #include <algorithm>
-#include <functional>
-#include <optional>
-#include <string>
-#include <string_view>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -25,38 +20,6 @@
 
 namespace figlanding {
 
-/// Settings of TopicFollower.
-struct TopicFollowerOptions
-{
-    std::string topic;
-    milliseconds wait{}; ///< long polling: the store answers an empty read after this time
-    milliseconds pause{}; ///< from one read to the next; limits the call rate of a busy topic
-    milliseconds catchUpPause{200}; ///< time for missing records to be relayed before a read
-};
-
-/// Callbacks of TopicFollower.
-struct TopicFollowerHandlers
-{
-    /// Called with the newest record of each key; keys that are missing do not exist.
-    std::function<void(const std::vector<KeyedRecord> &)> onSnapshot;
-    /// Applies a record. Returns whether it changed anything; other records are not relayed.
-    std::function<bool(const KeyedRecord &)> onRecord;
-    /// Returns a shorter record with the same effect on a receiver that has applied all earlier
-    /// ones, or nothing. Called before onRecord. May be empty.
-    std::function<std::optional<KeyedRecord>(const KeyedRecord &)> shorten;
-    /// Called after each successful read of this VM that reached the end of the topic. May be
-    /// empty.
-    /// @param sentAt when the read was sent
-    /// @param end offset after the last record
-    std::function<void(TimePoint sentAt, LogOffset end)> onRead = {};
-    /// Called with each event for logs and metrics. May be empty.
-    std::function<void(const FollowerEvent &)> onEvent = {};
-    /// Relays records to the other VMs.
-    std::function<void(const TopicUpdate &)> relay;
-    /// Returns how many live VMs precede this one as readers of the topic.
-    std::function<std::size_t(const std::string &topic)> rank;
-};
-
 /// Follows one topic from start() until the object is destroyed.
 template <Store StoreType>
 class TopicFollower
@@ -166,13 +129,6 @@
         milliseconds wait{}; ///< long polling; not for snapshots
     };
 
-    /// Limit of the records in a datagram; a single record may be larger.
-    static constexpr std::size_t maxRelayBytes = 4096;
-    /// A larger record does not fit into a datagram even when compressed, so every VM reads it from
-    /// the store. A configuration with 120 routes and 90 teams has about 40 KB, a table with 400
-    /// ranges 16 KB.
-    static constexpr std::size_t maxRecordBytes = std::size_t{96} * 1024;
-
     auto readNext(bool freshConnection = false) -> void
     {
         m_timer.stop();
@@ -318,21 +274,6 @@
             && m_schedule.shouldRelay(m_handlers.rank(m_options.topic), m_loop.now());
     }
 
-    // Returns the records that no later one of the same key follows. The others change nothing, but
-    // each would be relayed to every VM; over a slow link that takes longer than a view may be old.
-    static auto newestOfEachKey(const std::vector<KeyedRecord> &records) -> std::vector<KeyedRecord>
-    {
-        auto result = std::vector<KeyedRecord>{};
-        auto keys = std::unordered_set<std::string_view>{};
-        std::for_each(records.rbegin(), records.rend(), [&](const KeyedRecord &record) {
-            if (keys.insert(record.key).second) {
-                result.push_back(record);
-            }
-        });
-        std::reverse(result.begin(), result.end());
-        return result;
-    }
-
     // Applies records from the next offset on and skips earlier ones.
     auto apply(const std::vector<KeyedRecord> &records, LogOffset next) -> void
     {
@@ -345,43 +286,25 @@
         reportComplete();
     }
 
-    // Applies new records and relays those that changed something, in batches of
-    // about maxRelayBytes.
+    // Applies new records and relays those that changed something.
     auto applyAndRelay(const std::vector<KeyedRecord> &records, LogOffset next, milliseconds age)
         -> void
     {
-        auto batch = TopicUpdate{
-            .topic = m_options.topic, .from = m_nextOffset, .next = m_nextOffset, .age = age};
-        auto bytes = std::size_t{0};
+        auto batches = RelayBatches(
+            {.topic = m_options.topic, .from = m_nextOffset, .next = m_nextOffset, .age = age},
+            m_handlers.relay);
         for (const auto &record : records) {
             if (record.offset < m_nextOffset) {
                 continue; // was relayed by another VM in the meantime
             }
             m_nextOffset = record.offset + 1;
             const auto shorter = m_handlers.shorten ? m_handlers.shorten(record) : std::nullopt;
-            if (!m_handlers.onRecord(record)) {
-                continue;
-            }
-            const auto &relayed = shorter ? *shorter : record;
-            const auto size = relayed.key.size() + relayed.value.value_or("").size();
-            if (bytes > 0 && bytes + size > maxRelayBytes) {
-                m_handlers.relay(batch);
-                batch = {
-                    .topic = m_options.topic, .from = batch.next, .next = batch.next, .age = age};
-                bytes = 0;
-            }
-            if (size > maxRecordBytes) {
-                batch.complete = false;
-            } else {
-                batch.records.push_back(relayed);
-                batch.shortened = batch.shortened || shorter.has_value();
+            if (m_handlers.onRecord(record)) {
+                batches.add(record, shorter);
             }
-            bytes += size;
-            batch.next = record.offset + 1;
         }
         m_nextOffset = std::max(m_nextOffset, next);
-        batch.next = m_nextOffset;
-        m_handlers.relay(batch);
+        batches.finish(m_nextOffset);
         reportComplete();
     }
 
