--- a/tests/integration/crowded_vm.cpp
+++ b/tests/integration/crowded_vm.cpp
@@ -269,21 +269,11 @@
     }
 }
 
-auto CrowdCaller::read(std::size_t bytes) -> void
+auto CrowdCaller::read(std::size_t bytes) -> bool
 {
     auto buffer = std::string(bytes, '\0');
-    static_cast<void>(::recv(m_socket.get(), buffer.data(), buffer.size(), 0));
-}
-
-auto readInTurns(const std::vector<std::unique_ptr<CrowdCaller>> &callers, std::size_t pieceBytes,
-                 std::size_t rounds, milliseconds pause) -> void
-{
-    for (std::size_t round = 0; round < rounds; ++round) {
-        for (const auto &caller : callers) {
-            caller->read(pieceBytes);
-        }
-        std::this_thread::sleep_for(pause);
-    }
+    const auto count = ::recv(m_socket.get(), buffer.data(), buffer.size(), 0);
+    return count > 0 || (count < 0 && errno == EAGAIN);
 }
 
 auto sendInTurns(const std::vector<std::unique_ptr<CrowdCaller>> &callers, std::string_view text,
--- a/tests/integration/crowded_vm.h
+++ b/tests/integration/crowded_vm.h
@@ -97,7 +97,8 @@
     /// Once that has happened, later calls send nothing.
     auto send(std::string_view bytes) -> void;
     /// Reads what has arrived, at most @p bytes.
-    auto read(std::size_t bytes) -> void;
+    /// @return whether the connection is still open
+    auto read(std::size_t bytes) -> bool;
 
 private:
     FileDescriptor m_socket;
@@ -108,8 +109,4 @@
 auto sendInTurns(const std::vector<std::unique_ptr<CrowdCaller>> &callers, std::string_view text,
                  std::size_t pieceBytes) -> void;
 
-/// Lets each caller read a few bytes in each of several rounds.
-auto readInTurns(const std::vector<std::unique_ptr<CrowdCaller>> &callers, std::size_t pieceBytes,
-                 std::size_t rounds, milliseconds pause) -> void;
-
 } // namespace figlanding::testing
