--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -284,14 +284,14 @@
     template <typename OnRecord, typename OnSnapshot>
     auto followerHandlers(const char *name, OnRecord onRecord, OnSnapshot onSnapshot,
                           const RecordShortener &shorten = {},
-                          std::function<void(TimePoint, LogOffset)> onRead = {})
+                          const std::function<void(TimePoint, LogOffset)> &onRead = {})
         -> TopicFollowerHandlers
     {
         return {
             .onSnapshot = std::move(onSnapshot),
             .onRecord = std::move(onRecord),
             .shorten = shorten,
-            .onRead = std::move(onRead),
+            .onRead = onRead,
             .onEvent = [log = FollowerLog(name, m_metrics)](
                            const FollowerEvent &event) mutable { log.add(event); },
             .relay = [this](const TopicUpdate &update) { m_link->sendToAll(update); },
