--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -120,21 +120,23 @@
     if (!connection->fixedCost.growTo(bytesPerConnection)) {
         server.close(*connection);
     }
+    const auto id = connection->id;
     *context = connection.get();
-    server.connections.emplace(connection->id, std::move(connection));
+    server.connections.emplace(id, std::move(connection));
     if (server.connections.size() >= server.options.maxConnections) {
-        server.closeLongestIdle();
+        server.closeLongestIdle(id);
     }
 }
 
-// Makes room for the next connection. A request counts from the end of its header on, so that one
-// that never ends is no reason to keep a connection.
-auto HttpServer::Impl::closeLongestIdle() -> void
+// Makes room for the next connection, but not at the cost of the newest one, whose request may be
+// on its way. A request counts from the end of its header on, so that a header that never ends is
+// no reason to keep a connection.
+auto HttpServer::Impl::closeLongestIdle(std::uint64_t newestId) -> void
 {
     const ClientConnection *longest = nullptr;
     for (const auto &[id, connection] : connections) {
         const auto *request = connection->current;
-        const auto idle = request == nullptr || !request->started;
+        const auto idle = id != newestId && (request == nullptr || !request->started);
         if (idle && (longest == nullptr || connection->idleSince < longest->idleSince)) {
             longest = connection.get();
         }
--- a/src/io/http_server_impl.h
+++ b/src/io/http_server_impl.h
@@ -46,7 +46,7 @@
     auto watchForStalls() -> void;
     auto closeStalled() -> void;
     [[nodiscard]] auto takeMemoryShortage() -> bool;
-    auto closeLongestIdle() -> void;
+    auto closeLongestIdle(std::uint64_t newestId) -> void;
     static auto close(const ClientConnection &connection) -> void;
     auto abandon(ReceivedRequest &request) -> void;
     auto handleHangUps() -> void;
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -466,3 +466,34 @@
     server.reset();
     CHECK(account.used() == 0);
 }
+
+TEST_CASE("at the limit of connections, the newest one may still send its request")
+{
+    EventLoop loop;
+    auto held = std::vector<HttpExchange>{};
+    auto server = valueOrElse(
+        [&] {
+            return HttpServer::listen(loop, {.address = {.ip = "127.0.0.1"}, .maxConnections = 2},
+                                      [&](HttpExchange exchange) {
+                                          if (exchange.request().target == "/hold") {
+                                              held.push_back(std::move(exchange));
+                                          } else {
+                                              exchange.respond({.status = 200, .body = "done"});
+                                          }
+                                      });
+        },
+        [](const Error &) { return std::unique_ptr<HttpServer>(); });
+    REQUIRE(server != nullptr);
+    auto busy = RawClient(server->port());
+    busy.send("GET /hold HTTP/1.1\r\nhost: h\r\n\r\n");
+    REQUIRE(figlanding::testing::runUntil(
+        loop, [&] { return !held.empty(); }, timeout));
+    auto newest = RawClient(server->port());
+    figlanding::testing::runUntil(
+        loop, [] { return false; }, milliseconds(200));
+    newest.send("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+    figlanding::testing::runUntil(
+        loop, [] { return false; }, milliseconds(200));
+    CHECK(newest.readUntil("done", timeout).find("200 OK") != std::string::npos);
+    held.clear();
+}
