--- a/include/figlanding/gateway/route_work.h
+++ b/include/figlanding/gateway/route_work.h
@@ -19,7 +19,7 @@
 /// Settings of RouteWork.
 struct RouteWorkOptions
 {
-    double assumedSamples = 3.0; ///< weight of the factor one against the first samples of a route
+    double assumedSamples = 3.0; ///< weight of the average against the first samples of a route
     double sampleWeight = 0.03; ///< least weight of a new sample in a route's factor
     double minFactor = 0.05;
     double maxFactor = 20.0;
@@ -41,11 +41,15 @@
     /// Records a request that a server completed.
     /// @param relativeTime its time divided by the time of its server, above 0
     auto add(const RouteId &route, double relativeTime) -> void;
-    /// Returns the time of a route's requests divided by that of their server; 1 for a route
-    /// without samples.
+    /// Returns the time of a route's requests divided by that of their server. A route without
+    /// samples counts as the average request.
     [[nodiscard]] auto factor(const RouteId &route) const -> double;
     /// Returns the average factor of the recent requests.
     [[nodiscard]] auto mean() const -> double;
+    /// Divides all factors by their average if it is far from 1. Only the product of a factor and a
+    /// server's time is learnt, so both may drift, one up and the other down.
+    /// @return by what the times of the servers must be multiplied; 1 if nothing changes
+    [[nodiscard]] auto rebase() -> double;
 
 private:
     struct Route
--- a/include/figlanding/gateway/slot_broker.h
+++ b/include/figlanding/gateway/slot_broker.h
@@ -172,6 +172,7 @@
     // Sorts the queue and returns the requests that go ahead of more urgent ones.
     static auto sortQueue(ServiceGroup &group, TimePoint now) -> std::set<TicketId>;
     static auto findOverdue(ServiceGroup &group, TimePoint now) -> std::set<TicketId>;
+    static auto rebaseTimes(ServiceGroup &group) -> void;
     static auto overdueShare(ServiceGroup &group, const BackendServerId &owner) -> OverdueShare *;
     static auto releaseSlot(Server &server, const AvailabilityZoneId &zone) -> void;
     auto recordLoss(Server &server, const AvailabilityZoneId &zone, bool reached, TimePoint now)
--- a/src/core/gateway/route_work.cpp
+++ b/src/core/gateway/route_work.cpp
@@ -1,6 +1,7 @@
 #include "figlanding/gateway/route_work.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figlanding {
 
@@ -12,6 +13,7 @@
 /// A single request counts as at most this multiple of its route's factor, so that one that stalled
 /// does not make its route seem unservable.
 constexpr double maxSampleRatio = 4.0;
+constexpr double maxDrift = 2.0; ///< of the average factor from one, up or down
 
 auto average(double &value, double sample, double weight) -> void
 {
@@ -34,7 +36,7 @@
         if (m_routes.size() >= m_options.maxRoutes) {
             return;
         }
-        found = m_routes.emplace(route, Route{}).first;
+        found = m_routes.emplace(route, Route{.factor = m_mean}).first;
     }
     auto &known = found->second;
     known.samples += 1;
@@ -58,7 +60,7 @@
 auto RouteWork::factor(const RouteId &route) const -> double
 {
     const auto found = m_routes.find(route);
-    return found == m_routes.end() ? 1.0 : found->second.factor;
+    return found == m_routes.end() ? m_mean : found->second.factor;
 }
 
 auto RouteWork::mean() const -> double
@@ -66,4 +68,16 @@
     return m_mean;
 }
 
+auto RouteWork::rebase() -> double
+{
+    if (m_mean >= 1.0 / maxDrift && m_mean <= maxDrift) {
+        return 1.0;
+    }
+    const auto scale = std::exchange(m_mean, 1.0);
+    for (auto &[id, route] : m_routes) {
+        route.factor /= scale;
+    }
+    return scale;
+}
+
 } // namespace figlanding
--- a/src/core/gateway/slot_broker_servers.cpp
+++ b/src/core/gateway/slot_broker_servers.cpp
@@ -108,6 +108,16 @@
     server.declines.onRun(slotIsFree, now);
 }
 
+// Keeps the scale of the factors where an average request has about one.
+auto SlotBroker::rebaseTimes(ServiceGroup &group) -> void
+{
+    const auto scale = group.work.rebase();
+    for (auto &[id, server] : group.servers) {
+        server.normalizedMs *= scale;
+        server.observedMs *= scale;
+    }
+}
+
 // Ignores a time that no request can take, as its slot is reclaimed before: with such an average,
 // the server would seem too slow for every request, and no further one would correct it.
 auto SlotBroker::recordServiceTime(Server &server, const ActiveGrant &granted,
@@ -123,6 +133,7 @@
     if (server.normalizedMs > 0.0) {
         work.add(granted.route, std::max(sample, minSampleMs) / server.normalizedMs);
     }
+    rebaseTimes(m_groups[granted.service]);
     const auto factor = work.factor(granted.route);
     const auto update = [&](double &average, double value) {
         average =
--- a/tests/unit/slot_load.h
+++ b/tests/unit/slot_load.h
@@ -22,6 +22,10 @@
     milliseconds objective{};
     milliseconds deadline{};
     std::uint32_t returns = 1; ///< times that a refused caller comes back
+    milliseconds from{}; ///< begin, from that of the load
+    BackendServerId owner; ///< server that alone may run the requests; empty if any may
+    double spread = 0.0; ///< of the logarithm of the work; zero: the work varies by 30 %
+    milliseconds firstWork{}; ///< time of the first request; zero if it is as the others
 };
 
 /// A server and what is wrong with it.
@@ -63,6 +67,7 @@
     struct Caller
     {
         const LoadedRoute *route = nullptr;
+        milliseconds work{};
         TimePoint firstAt;
         std::uint32_t returnsLeft = 0;
         std::vector<BackendServerId> excluded;
