--- a/include/figlanding/gateway/store_outage.h
+++ b/include/figlanding/gateway/store_outage.h
@@ -26,7 +26,7 @@
     /// @return whether an outage ends
     [[nodiscard]] auto onAnswer(TimePoint answeredAt, TimePoint now) -> bool;
     /// Returns when this VM learned of the end of the last outage; nothing if there was none.
-    /// Failures that ended after 0.8 s are not an outage.
+    /// Failures that end within 0.8 s are not an outage.
     [[nodiscard]] auto lastEnd() const -> std::optional<TimePoint>
     {
         return m_lastEnd;
