--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -691,14 +691,14 @@
         return m_listener.port();
     }
     /// Returns the entry that the upstream writes to the store.
-    auto entry(const std::string &zone) -> std::string
+    auto entry(const std::string &zone, bool draining = false) -> std::string
     {
         return json{{"Service", m_options.service},
                     {"Address", "127.0.0.1:" + std::to_string(port())},
                     {"Zone", zone},
                     {"Version", "v1"},
                     {"MaxConcurrency", m_options.slots},
-                    {"State", "ready"},
+                    {"State", draining ? "draining" : "ready"},
                     {"WarmupRemaining", "0ms"},
                     {"Sequence", ++m_sequence},
                     {"born", m_born}}
@@ -755,8 +755,11 @@
                 m_until[at] = 0;
             }
         }
-        if (m_watched >= from && m_watched <= to && !m_holds.empty()) {
-            m_holds.back().until = std::min(m_holds.back().until, nowMs());
+        if (m_watched >= from && m_watched <= to
+            && m_until[static_cast<std::size_t>(m_watched)] == 0) {
+            for (auto &hold : m_holds) {
+                hold.until = std::min(hold.until, nowMs());
+            }
         }
     }
     [[nodiscard]] auto holds(int key) -> bool
@@ -917,6 +920,13 @@
         }
     }
 
+    /// Lets an upstream say that it is leaving, from now on.
+    auto drain(const Upstream &upstream) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        m_draining.insert(&upstream);
+    }
+
 private:
     auto run() -> void
     {
@@ -928,7 +938,7 @@
                 if (!m_cut.contains(&upstream)) {
                     if (isBeat) {
                         m_store.put("keyed.servers", upstream.options().id,
-                                    upstream.entry(m_zones[i]));
+                                    upstream.entry(m_zones[i], m_draining.contains(&upstream)));
                         m_lastBeat[i] = nowMs();
                     }
                 } else if (m_lastBeat[i] >= 0 && nowMs() - m_lastBeat[i] > 3 * heartbeatMs) {
@@ -946,6 +956,7 @@
     std::vector<std::string> m_zones;
     std::mutex m_mutex;
     std::set<const Upstream *> m_cut;
+    std::set<const Upstream *> m_draining;
     std::vector<std::int64_t> m_lastBeat;
     std::atomic<bool> m_stop{false};
     std::thread m_thread;
