--- a/review/standins-2/pipelined_stop.cpp
+++ b/review/standins-2/pipelined_stop.cpp
@@ -19,9 +19,13 @@
   "IdleTimeout":"15000ms"},
  "Tenants":[{"Name":"band","ApiKeys":["key-of-band"],"RatePerS":1000,"Burst":1000}]})";
 
-constexpr auto consumers = 6;
-constexpr std::size_t downloadBytes = 500'000; ///< the largest downloads of the sites have 540,000
+constexpr auto consumers = 12;
+constexpr std::size_t downloadBytes = 540'000; ///< the largest downloads of the sites
 constexpr std::int64_t workMs = 700;
+/// DEPLOY.md: "Links have a delay, a bandwidth ... and small windows". 16 KiB in 3 ms are 44
+/// Mbit/s, and a download takes about 0.1 s.
+constexpr int windowBytes = 65'536;
+constexpr std::int64_t pauseMs = 3;
 
 // Runs a download and answers with a long body of known length.
 auto answerDownload(Upstream &upstream, int fd, const Message &request) -> bool
@@ -59,12 +63,16 @@
     store.put("keyed.op", "config", configuration);
     auto upstreams = std::vector<std::unique_ptr<Upstream>>{};
     auto pointers = std::vector<Upstream *>{};
-    for (auto i = 0; i < 4; ++i) {
+    for (auto i = 0; i < 8; ++i) {
         upstreams.push_back(std::make_unique<Upstream>(
             UpstreamOptions{.id = "i-" + std::to_string(i), .service = "media"}, answerDownload));
         pointers.push_back(upstreams.back().get());
     }
-    auto registrar = Registrar(store, pointers, {"kochi-a", "kochi-b", "kochi-a", "kochi-b"});
+    auto zones = std::vector<std::string>{};
+    for (auto i = 0; i < 8; ++i) {
+        zones.emplace_back(i % 2 == 0 ? "kochi-a" : "kochi-b");
+    }
+    auto registrar = Registrar(store, pointers, zones);
     auto router = Router(run.folder(), "edge-kochi-a-1", "kochi-a", store.port());
     if (!router.awaitReady()) {
         run.finish(2, "the process did not become ready");
@@ -74,8 +82,9 @@
     auto threads = std::vector<std::thread>{};
     for (auto i = 0; i < consumers; ++i) {
         threads.emplace_back([&, i] {
-            auto connection = connectTo(router.callers);
+            auto connection = connectTo(router.callers, windowBytes);
             auto reader = Reader(connection.fd());
+            reader.setPause(pauseMs);
             const auto number = std::to_string(i);
             // A first request, so that the connection is a kept one.
             sendAll(connection.fd(), requestHead("GET", "/read/1", "a" + number, 4000, "\r\n"));
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -175,9 +175,14 @@
     return portOf(listenOn(0).fd());
 }
 
-inline auto connectTo(std::uint16_t port) -> Socket
+/// Connects to a loopback port.
+/// @param windowBytes receive buffer; 0: that of the system
+inline auto connectTo(std::uint16_t port, int windowBytes = 0) -> Socket
 {
     auto socket = Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    if (windowBytes > 0) {
+        ::setsockopt(socket.fd(), SOL_SOCKET, SO_RCVBUF, &windowBytes, sizeof windowBytes);
+    }
     const auto address = loopback(port);
     if (::connect(socket.fd(), reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
         socket.close();
@@ -309,6 +314,11 @@
         m_buffer.erase(0, size);
         return message.complete = true;
     }
+    /// Sets the time between two reads, for a link of limited bandwidth: each reads 16 KiB at most.
+    auto setPause(std::int64_t pauseMs) -> void
+    {
+        m_pauseMs = pauseMs;
+    }
     [[nodiscard]] auto closed() const -> bool
     {
         return m_closed;
@@ -356,6 +366,9 @@
         if (::poll(&waiting, 1, left) <= 0) {
             return false;
         }
+        if (m_pauseMs > 0) {
+            sleepMs(m_pauseMs);
+        }
         auto bytes = std::array<char, 16384>{};
         const auto count = ::recv(m_fd, bytes.data(), bytes.size(), 0);
         if (count <= 0) {
@@ -369,6 +382,7 @@
 
     int m_fd;
     std::string m_buffer;
+    std::int64_t m_pauseMs = 0;
     bool m_closed = false;
     bool m_reset = false;
 };
@@ -962,6 +976,9 @@
     std::thread m_thread;
 };
 
+/// The processes under test that were started and not ended, for the end of a run.
+inline std::set<pid_t> startedProcesses;
+
 /// A process of the deployed program, with a settings file made from deploy/settings.json's fields.
 class Router
 {
@@ -1017,6 +1034,7 @@
                     static_cast<char *>(nullptr));
             std::_Exit(127);
         }
+        startedProcesses.insert(m_pid);
     }
     auto signal(int number) const -> void
     {
@@ -1027,6 +1045,7 @@
     auto kill() -> void
     {
         if (m_pid > 0) {
+            startedProcesses.erase(m_pid);
             ::kill(m_pid, SIGKILL);
             ::waitpid(std::exchange(m_pid, -1), nullptr, 0);
         }
@@ -1036,7 +1055,7 @@
     {
         auto status = 0;
         if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
-            m_pid = -1;
+            startedProcesses.erase(std::exchange(m_pid, -1));
             note(m_name + " ended, status " + std::to_string(status));
         }
         return m_pid < 0;
@@ -1061,6 +1080,10 @@
         }
         return false;
     }
+    [[nodiscard]] auto pid() const -> pid_t
+    {
+        return m_pid;
+    }
     [[nodiscard]] auto name() const -> const std::string &
     {
         return m_name;
@@ -1151,9 +1174,13 @@
     {
         return m_folder;
     }
-    /// Ends the run at once: the threads of the stand-ins are not waited for.
+    /// Ends the processes under test and the run; the threads of the stand-ins are not waited for.
     [[noreturn]] auto finish(int status, const std::string &why) const -> void
     {
+        for (const auto process : startedProcesses) {
+            ::kill(process, SIGKILL);
+            ::waitpid(process, nullptr, 0);
+        }
         note(why);
         note("exit " + std::to_string(status));
         std::cout << why << '\n' << std::flush;
