--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-for source in review/standins-2/*.cpp; do
-    program=build/review-2/$(basename "$source" .cpp | tr _ -)
+for source in review/standins-2/*.cc; do
+    program=build/review-2/$(basename "$source" .cc | tr _ -)
     if [ ! -e "$program" ] || [ "$source" -nt "$program" ] \
         || [ review/standins-2/stage.h -nt "$program" ]; then
         "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "$program"
