--- a/include/figlanding/gateway/key_controller.h
+++ b/include/figlanding/gateway/key_controller.h
@@ -34,7 +34,9 @@
 /// - A server that restarts under the same name may have accepted a grant meant for its earlier
 ///   incarnation. It is asked to release the range like a live owner.
 /// - A range is taken from an unreachable server only after its lease has expired, counted from
-///   the last time at which a renewal may have arrived there.
+///   the last time at which a renewal may have arrived there. A cut can refuse its connections and
+///   let its entry expire while it works on its keys, so neither shows that it has exited. What
+///   shows it is another server at its address.
 /// - After an unanswered grant, the server may have restarted and lost its fences. The controller
 ///   sends another grant only if the store has confirmed since then that it is still elected.
 /// - A new controller does not know the renewals of earlier ones. It counts leases from the end
@@ -172,8 +174,7 @@
     Accepted,
     Refused, ///< the server has seen a higher fence
     Lost, ///< no response: the command may have taken effect or may still do so
-    NotSent, ///< no connection was made, so the command cannot arrive
-    ConnectionRefused, ///< no process accepts connections at the address
+    NotSent, ///< no connection was made, so the command cannot arrive; says nothing of the server
     OtherServer, ///< the address belongs to another server now
 };
 
@@ -333,7 +334,6 @@
         TimePoint dueAt; ///< of the next grant
         std::optional<TimePoint> unansweredSince; ///< first failure since the last accepted grant
         TimePoint lastUnansweredAt; ///< last failure
-        std::uint32_t connectionRefusals = 0; ///< consecutive ConnectionRefused outcomes
         bool addressReused = false; ///< the owner's address belongs to another server now
         std::optional<ServerIncarnation> target; ///< next owner of a range that is moved
         std::optional<TimePoint> unservedSince; ///< empty while it has a live owner
@@ -382,7 +382,7 @@
     [[nodiscard]] auto waitOf(const Range &range, TimePoint now) const -> OwnerWait;
     auto freeAbandonedRanges(Service &service, const ControllerInputs &inputs, TimePoint now)
         -> void;
-    [[nodiscard]] static auto ownerExited(const Range &range, const ControllerInputs &inputs)
+    [[nodiscard]] auto ownerExited(const Range &range, const ServerRegistry &registry) const
         -> bool;
     [[nodiscard]] static auto isRenewable(const Range &range, const ServerRegistry &registry)
         -> bool;
--- a/include/figlanding/gateway/server_registry.h
+++ b/include/figlanding/gateway/server_registry.h
@@ -96,6 +96,10 @@
     }
     /// Returns whether the owner of a key can be sent requests for it.
     [[nodiscard]] auto ownerState(const ServerIncarnation &owner) const -> OwnerState;
+    /// Returns whether a server that is not registered any more has been followed by another one,
+    /// which started later, at its address.
+    [[nodiscard]] auto hasSuccessorAt(const SocketAddress &address,
+                                      const ServerIncarnation &gone) const -> bool;
     /// Returns when a server was removed; nothing if it never was, or is registered.
     [[nodiscard]] auto goneSince(const BackendServerId &id) const -> std::optional<TimePoint>;
     /// Returns whether a server accepts new requests: it is neither draining nor leaving, its zone
--- a/src/core/gateway/key_controller.cpp
+++ b/src/core/gateway/key_controller.cpp
@@ -212,7 +212,6 @@
         next.arrivedBy = sameOwner ? range.arrivedBy : now;
         next.unansweredSince = sameOwner ? range.unansweredSince : std::nullopt;
         next.lastUnansweredAt = range.lastUnansweredAt;
-        next.connectionRefusals = sameOwner ? range.connectionRefusals : 0;
         next.grantMayArriveLate = sameOwner && range.grantMayArriveLate;
         range = std::move(next);
     }
@@ -239,12 +238,10 @@
     }
     forEachRange(command.mapped(), [&](Range &range) {
         range.grantInFlight = false;
-        range.connectionRefusals =
-            end == CommandOutcome::ConnectionRefused ? range.connectionRefusals + 1 : 0;
         range.dueAt = now + m_options.retryInterval;
         range.confirmed = end == CommandOutcome::Accepted;
         // A grant that was not sent leaves the lease as it was.
-        if (end != CommandOutcome::NotSent && end != CommandOutcome::ConnectionRefused) {
+        if (end != CommandOutcome::NotSent) {
             range.sentAt = range.grantSentAt;
             range.arrivedBy = now;
             noteGrant(range.owned.owner, now);
@@ -266,7 +263,6 @@
             range.grantMayArriveLate = true;
             [[fallthrough]];
         case CommandOutcome::NotSent:
-        case CommandOutcome::ConnectionRefused:
             range.unansweredSince = range.unansweredSince.value_or(now);
             range.lastUnansweredAt = now;
             break;
@@ -298,8 +294,6 @@
         range.target.reset();
         range.unansweredSince = range.unansweredSince.value_or(now);
         range.lastUnansweredAt = now;
-        range.connectionRefusals =
-            end == CommandOutcome::ConnectionRefused ? range.connectionRefusals + 1 : 0;
         range.addressReused = end == CommandOutcome::OtherServer;
     });
 }
--- a/src/core/gateway/key_controller_leases.cpp
+++ b/src/core/gateway/key_controller_leases.cpp
@@ -16,8 +16,6 @@
 /// Time after the claim of another VM in which this one reports to it.
 constexpr seconds reportDuration{3};
 
-constexpr std::uint32_t refusalsToConfirmExit = 3; ///< consecutive refused connections
-
 } // namespace
 
 auto toText(OwnerWait wait) -> std::string_view
@@ -169,14 +167,14 @@
     return std::max(range.arrivedBy, grantedByOthersUntil(range.owned.owner)) + leaseWithDrift();
 }
 
-auto KeyController::ownerExited(const Range &range, const ControllerInputs &inputs) -> bool
+// An address is reused only after its server has exited. Whatever a cut can cause is no proof.
+auto KeyController::ownerExited(const Range &range, const ServerRegistry &registry) const -> bool
 {
     if (range.addressReused) {
-        return true; // an address is reused only after its server has exited
+        return true;
     }
-    // Refused connections alone are no proof of an exit: an overloaded server refuses them as well.
-    return inputs.registry.find(range.owned.owner.server) == nullptr
-        && range.connectionRefusals >= refusalsToConfirmExit;
+    const auto address = addressOf(range.owned.owner);
+    return address && registry.hasSuccessorAt(*address, range.owned.owner);
 }
 
 // Returns whether the next grant may renew the lease, or begin it anew if it has ended, as after a
@@ -195,7 +193,7 @@
         if (range.phase == Phase::Free || range.grantInFlight) {
             continue;
         }
-        const auto exited = ownerExited(range, inputs);
+        const auto exited = ownerExited(range, inputs.registry);
         const auto expired = !isRenewable(range, inputs.registry) && now >= leaseEnd(range);
         if (expired && !exited) {
             m_avoidedUntil[range.owned.owner] = now + m_options.avoidDuration;
--- a/src/core/gateway/server_registry.cpp
+++ b/src/core/gateway/server_registry.cpp
@@ -1,5 +1,6 @@
 #include "figlanding/gateway/server_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figlanding {
@@ -101,6 +102,16 @@
     return acceptsRequests(*server) ? OwnerState::Usable : OwnerState::Leaving;
 }
 
+auto ServerRegistry::hasSuccessorAt(const SocketAddress &address,
+                                    const ServerIncarnation &gone) const -> bool
+{
+    return find(gone.server) == nullptr
+        && std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &item) {
+               const auto &entry = item.second.entry;
+               return entry.address == address && entry.startedUnixMs > gone.startedUnixMs;
+           });
+}
+
 auto ServerRegistry::goneSince(const BackendServerId &id) const -> std::optional<TimePoint>
 {
     const auto found = m_goneSince.find(id);
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -62,7 +62,6 @@
     Verdict verdict = Verdict::NotRun;
     HttpResponse response; ///< valid if verdict is Ran
     Error error; ///< valid if verdict is not Ran
-    bool connectionRefused = false; ///< connecting failed with ECONNREFUSED
     Duration elapsed{}; ///< from call() to the result
     bool newConnection = false; ///< the request was sent on a connection opened by this call
     /// A request with the same value of the correlation header was sent to the address before, and
--- a/src/io/http_transfer.cpp
+++ b/src/io/http_transfer.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <stdexcept>
 #include <utility>
 
@@ -316,9 +315,6 @@
     if (code != CURLE_OK) {
         outcome.error = toError(code);
         outcome.verdict = bytesSent() > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
-        auto systemError = 0L;
-        curl_easy_getinfo(m_easy, CURLINFO_OS_ERRNO, &systemError);
-        outcome.connectionRefused = code == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
         return outcome;
     }
     if (auto fault = m_response.framingError(); !fault.empty()) {
--- a/tests/contract/key_lease_client_test.cpp
+++ b/tests/contract/key_lease_client_test.cpp
@@ -175,6 +175,17 @@
     }
 }
 
+// Guards against a lease that is counted from the renewal before the one that the server has taken.
+TEST_CASE("a renewal that was sent counts as sent when the connection after it is refused")
+{
+    auto calls = LeaseCalls(
+        {{read(), send(granted), read(), {.action = RawAction::StopListening, .text = {}}}});
+    CHECK(calls.grant() == CommandOutcome::Accepted);
+    CHECK(calls.grant() == CommandOutcome::Lost);
+    CHECK(calls.server().requests().size() == 2);
+    CHECK(calls.grant() == CommandOutcome::NotSent);
+}
+
 TEST_CASE("renewals use the connection of the grants before them")
 {
     auto calls = LeaseCalls({{read(), send(granted), read(), send(granted), hold()}});
--- a/tests/contract/raw_server.cpp
+++ b/tests/contract/raw_server.cpp
@@ -90,6 +90,9 @@
 {
     for (std::size_t index = 0; waitReadable(m_listener); ++index) {
         const auto fd = ::accept(m_listener, nullptr, nullptr);
+        if (fd < 0) {
+            return; // RawAction::StopListening
+        }
         const auto script = index < m_scripts.size() ? m_scripts[index] : RawScript{RawStep{}};
         m_connections.emplace_back([this, fd, script] { runScript(fd, script); });
     }
@@ -170,6 +173,8 @@
             while (!m_stop && !m_proceed) {
                 ::usleep(awaitMicroseconds);
             }
+        } else if (step.action == RawAction::StopListening) {
+            ::shutdown(m_listener, SHUT_RDWR);
         } else if (step.action == RawAction::Reset) {
             resetOnClose(fd);
             break;
--- a/tests/contract/raw_server.h
+++ b/tests/contract/raw_server.h
@@ -22,6 +22,7 @@
     Close, ///< closes the connection normally
     Await, ///< waits for RawServer::proceed(), as when the client has read an earlier response
     Reset, ///< closes the connection with RST
+    StopListening, ///< refuses all further connections
     Hold, ///< keeps the connection open until the server stops
     Stream, ///< sends RawStep::text again and again until the peer closes or the server stops
     Trickle, ///< as Stream, with a pause of 1 ms after each text
--- a/tests/unit/key_controller_test.cpp
+++ b/tests/unit/key_controller_test.cpp
@@ -93,6 +93,16 @@
         {.lateCommand = 0.2, .crashes = true, .unreachableServers = true});
 }
 
+// Guards against keys that are given on within the lease of an owner that still works on them.
+TEST_CASE("keys have one owner while servers are cut off by cuts that refuse connections")
+{
+    checkSoleAndCompleteOwnership({.refusingCuts = true});
+    checkSoleAndCompleteOwnership(
+        {.lostResponse = 0.1, .lateCommand = 0.1, .crashes = true, .refusingCuts = true});
+    checkSoleAndCompleteOwnership(
+        {.refusingCuts = true, .leaderChanges = true, .storePartitions = true});
+}
+
 TEST_CASE("keys have one owner while the elected controller changes and appends take effect late")
 {
     checkSoleAndCompleteOwnership({.leaderChanges = true});
--- a/tests/unit/key_simulation.cpp
+++ b/tests/unit/key_simulation.cpp
@@ -11,6 +11,7 @@
 constexpr auto step = milliseconds(20);
 constexpr auto sampledKeys = 64U;
 constexpr auto controllerCount = 2;
+constexpr auto timeToExpire = milliseconds(2600); ///< of the entry of a silent server
 const auto service = ServiceId("rooms");
 
 // A range that a server holds until its lease ends.
@@ -29,6 +30,7 @@
     TimePoint upAt; ///< time of the next start if it is down
     TimePoint announcesAt; ///< first announcement after a start
     TimePoint unreachableUntil;
+    TimePoint refusesUntil; ///< end of a cut that refuses connections
     std::vector<HeldRange> holds;
     std::map<ShardKey, FencingToken> highestFences; ///< by sampled key
 };
@@ -182,25 +184,41 @@
             if (faults.unreachableServers && chance(perStep)) {
                 server.unreachableUntil = m_now + randomDuration(500, 12'000);
             }
+            if (faults.refusingCuts && server.up && chance(perStep)) {
+                cutOff(server);
+            }
             if (faults.crashes && server.up && chance(perStep)) {
                 server.up = false;
                 server.upAt =
                     m_now + randomDuration(static_cast<int>(faults.minDowntime.count()), 8000);
-                const auto id = server.incarnation.server;
-                schedule(milliseconds(2600), [this, id, incarnation = server.incarnation] {
-                    const auto *entry = m_registry.find(id);
-                    if (entry != nullptr
-                        && entry->entry.startedUnixMs == incarnation.startedUnixMs) {
-                        m_registry.remove(id, m_now);
-                        m_registry.expire(m_now);
-                    }
-                });
+                expireEntry(server.incarnation);
                 server.holds.clear();
                 server.highestFences.clear();
             }
         }
     }
 
+    // The server goes on with its keys, but reaches neither the store nor the controllers.
+    auto cutOff(SimulatedServer &server) -> void
+    {
+        const auto end = m_now + randomDuration(3000, 6000);
+        server.refusesUntil = end;
+        server.announcesAt = end + randomDuration(0, 1000);
+        expireEntry(server.incarnation);
+    }
+
+    // The entry of a server that is silent from now on is removed, unless a later one replaces it.
+    auto expireEntry(const ServerIncarnation &incarnation) -> void
+    {
+        schedule(timeToExpire, [this, incarnation] {
+            const auto *known = m_registry.find(incarnation.server);
+            if (known != nullptr && known->entry.startedUnixMs == incarnation.startedUnixMs) {
+                m_registry.remove(incarnation.server, m_now);
+                m_registry.expire(m_now);
+            }
+        });
+    }
+
     auto runScheduledChanges() -> void
     {
         const auto before = m_now - step - m_start;
@@ -232,13 +250,9 @@
 
     auto silence(SimulatedServer &server) -> void
     {
-        constexpr auto timeToExpire = milliseconds(2600); // of its announcement
         server.unreachableUntil = TimePoint::max();
         server.announcesAt = TimePoint::max();
-        schedule(timeToExpire, [this, id = server.incarnation.server] {
-            m_registry.remove(id, m_now);
-            m_registry.expire(m_now);
-        });
+        expireEntry(server.incarnation);
     }
 
     auto recordUnowned() -> void
@@ -255,7 +269,7 @@
         for (auto &server : m_servers) {
             if (!server.up && m_now >= server.upAt) {
                 server.up = true;
-                server.announcesAt = m_now + randomDuration(0, 1000);
+                server.announcesAt = std::max(m_now, server.refusesUntil) + randomDuration(0, 1000);
                 m_needsCheck = true;
                 server.incarnation.startedUnixMs += 1;
             }
@@ -407,6 +421,11 @@
         }
     }
 
+    [[nodiscard]] auto refusesConnections(const SimulatedServer &server) const -> bool
+    {
+        return !server.up || m_now < server.refusesUntil;
+    }
+
     auto perform(int controller, const GrantCommand &command) -> void
     {
         auto &sender = *m_controllers.at(static_cast<std::size_t>(controller));
@@ -427,9 +446,9 @@
                 ? applyCommand(server, command, arrival)
                 : CommandOutcome::Lost;
         };
-        if (!server.up || chance(m_options.faults.refusedConnection)) {
+        if (refusesConnections(server) || chance(m_options.faults.refusedConnection)) {
             schedule(milliseconds(2), [&sender, id = command.id, this] {
-                sender.onGrant(id, CommandOutcome::ConnectionRefused, m_now);
+                sender.onGrant(id, CommandOutcome::NotSent, m_now);
             });
         } else if (m_now < server.unreachableUntil) {
             schedule(m_callTimeout, [&sender, id = command.id, this] {
@@ -472,9 +491,9 @@
         const auto incarnation = server.incarnation;
         const auto lost = m_now < server.unreachableUntil || chance(m_options.faults.lostCommand);
         const auto responseLost = chance(m_options.faults.lostResponse);
-        if (!server.up) {
+        if (refusesConnections(server)) {
             schedule(milliseconds(2), [&sender, id = command.id, this] {
-                sender.onRelease(id, CommandOutcome::ConnectionRefused, "", m_now);
+                sender.onRelease(id, CommandOutcome::NotSent, "", m_now);
             });
             return;
         }
--- a/tests/unit/key_simulation.h
+++ b/tests/unit/key_simulation.h
@@ -31,6 +31,9 @@
     bool crashes = false; ///< servers crash and restart as a new incarnation
     milliseconds minDowntime{2000}; ///< after a crash; longer than the renewal interval
     bool unreachableServers = false; ///< commands do not reach a server for some seconds
+    /// Servers are cut off for some seconds: their connections are refused, and their entries
+    /// expire.
+    bool refusingCuts = false;
     bool leaderChanges = false; ///< another controller is elected from time to time
     bool storePartitions = false; ///< a controller cannot reach the store for some seconds
     double otherRecords = 0.0; ///< records per second that other VMs append to the topic
--- a/tests/unit/unserved_keys_test.cpp
+++ b/tests/unit/unserved_keys_test.cpp
@@ -18,12 +18,7 @@
     Fleet()
     {
         for (const auto *name : {"s0", "s1", "s2"}) {
-            m_registry.announce({.id = BackendServerId(name),
-                                 .startedUnixMs = 1,
-                                 .service = service,
-                                 .address = {.ip = "10.0.0.1", .port = 1},
-                                 .sequence = 1},
-                                m_now);
+            announce(name, name, 1);
         }
         m_controller.setElected(true);
         m_controller.onView({}, m_now);
@@ -51,6 +46,11 @@
         m_registry.expire(m_now);
         m_lost = true;
     }
+    // Announces a server at the address of the one that was lost.
+    auto announceAtLostAddress(const std::string &name, std::int64_t startedUnixMs) -> void
+    {
+        announce(name, lost.value(), startedUnixMs);
+    }
     auto drainServer() -> void
     {
         m_registry.onLeaving({.server = lost, .startedUnixMs = 1});
@@ -62,6 +62,16 @@
     }
 
 private:
+    auto announce(const std::string &name, const std::string &ip, std::int64_t startedUnixMs)
+        -> void
+    {
+        m_registry.announce({.id = BackendServerId(name),
+                             .startedUnixMs = startedUnixMs,
+                             .service = service,
+                             .address = {.ip = ip, .port = 1},
+                             .sequence = 1},
+                            m_now);
+    }
     auto handle(const AppendClaim &record) -> void
     {
         m_controller.onAppend(AppendOutcome::Appended, record.expectedEnd, m_now);
@@ -118,6 +128,19 @@
     CHECK(fleet.unserved().empty());
 }
 
+TEST_CASE("keys of a lost server do not wait for its lease once a later one has its address")
+{
+    auto fleet = Fleet();
+    fleet.loseServer();
+    fleet.run(seconds(1));
+    fleet.announceAtLostAddress("predecessor", 1);
+    fleet.run(seconds(1));
+    CHECK(allWaitFor(fleet.unserved(), OwnerWait::Lease));
+    fleet.announceAtLostAddress("successor", 2);
+    fleet.run(milliseconds(200));
+    CHECK(fleet.unserved().empty());
+}
+
 TEST_CASE("keys of a lost server are reported to wait for the store while that is away")
 {
     auto fleet = Fleet();
