--- a/src/core/gateway/key_controller_moves.cpp
+++ b/src/core/gateway/key_controller_moves.cpp
@@ -60,7 +60,7 @@
 {
     const auto *server = registry.find(range.owned.owner.server);
     const auto restarted =
-        server != nullptr && server->entry.startedUnixMs != range.owned.owner.startedUnixMs;
+        server != nullptr && server->entry.startedUnixMs > range.owned.owner.startedUnixMs;
     return restarted ? server : nullptr;
 }
 
