Give the servers of the key simulation a module of their own

Cause: the simulation held servers, store, controllers and checks in one file of 620 lines. Change: what a server does with grants, releases and crashes is in simulated_server; the order of random draws is unchanged.

--- a/tests/unit/key_simulation.cpp
+++ b/tests/unit/key_simulation.cpp
@@ -1,5 +1,7 @@
 #include "key_simulation.h"
 
+#include "simulated_server.h"
+
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -9,32 +11,10 @@
 namespace {
 
 constexpr auto step = milliseconds(20);
-constexpr auto sampledKeys = 64U;
 constexpr auto controllerCount = 2;
 constexpr auto timeToExpire = milliseconds(2600); ///< of the entry of a silent server
 const auto service = ServiceId("rooms");
 
-// A range that a server holds until its lease ends.
-struct HeldRange
-{
-    KeyRange keys;
-    FencingToken fence = 0;
-    TimePoint until;
-};
-
-struct SimulatedServer
-{
-    ServerIncarnation incarnation;
-    SocketAddress address;
-    bool up = true;
-    TimePoint upAt; ///< time of the next start if it is down
-    TimePoint announcesAt; ///< first announcement after a start
-    TimePoint unreachableUntil;
-    TimePoint refusesUntil; ///< end of a cut that refuses connections
-    std::vector<HeldRange> holds;
-    std::map<ShardKey, FencingToken> highestFences; ///< by sampled key
-};
-
 class Simulation
 {
 public:
@@ -188,12 +168,9 @@
                 cutOff(server);
             }
             if (faults.crashes && server.up && chance(perStep)) {
-                server.up = false;
-                server.upAt =
-                    m_now + randomDuration(static_cast<int>(faults.minDowntime.count()), 8000);
+                const auto shortest = static_cast<int>(faults.minDowntime.count());
+                server.crash(m_now + randomDuration(shortest, 8000));
                 expireEntry(server.incarnation);
-                server.holds.clear();
-                server.highestFences.clear();
             }
         }
     }
@@ -373,33 +350,19 @@
                              [&](const auto &server) { return server.address == address; });
     }
 
-    auto applyCommand(SimulatedServer &server, const GrantCommand &command, TimePoint arrival)
+    auto applyGrant(SimulatedServer &server, const GrantCommand &command, TimePoint arrival)
         -> CommandOutcome
     {
-        for (auto i = 0U; i < sampledKeys; ++i) {
-            const auto key = sampledKey(i);
-            if (containsKey(command.keys, key) && server.highestFences[key] > command.fence) {
-                return CommandOutcome::Refused;
-            }
-        }
-        for (auto i = 0U; i < sampledKeys; ++i) {
-            if (containsKey(command.keys, sampledKey(i))) {
-                server.highestFences[sampledKey(i)] = command.fence;
-            }
-        }
         constexpr auto slowClock = 1.02;
         const auto lease = std::chrono::duration_cast<Duration>(
             std::chrono::duration<double, std::milli>(m_lease) * slowClock);
+        const auto outcome = server.grant(command, arrival + lease);
         // A grant that takes effect after its lease has expired gives no ownership.
-        if (arrival + lease > m_now) {
+        if (outcome == CommandOutcome::Accepted && arrival + lease > m_now) {
             checkFence(server.incarnation, command);
         }
-        std::erase_if(server.holds,
-                      [&](const HeldRange &hold) { return hold.keys == command.keys; });
-        m_needsCheck = true;
-        server.holds.push_back(
-            {.keys = command.keys, .fence = command.fence, .until = arrival + lease});
-        return CommandOutcome::Accepted;
+        m_needsCheck = m_needsCheck || outcome == CommandOutcome::Accepted;
+        return outcome;
     }
 
     // Checks that another incarnation gets a key only with a fence above all earlier ones.
@@ -421,11 +384,6 @@
         }
     }
 
-    [[nodiscard]] auto refusesConnections(const SimulatedServer &server) const -> bool
-    {
-        return !server.up || m_now < server.refusesUntil;
-    }
-
     auto perform(int controller, const GrantCommand &command) -> void
     {
         auto &sender = *m_controllers.at(static_cast<std::size_t>(controller));
@@ -443,10 +401,10 @@
         const auto run = [=, this, &server] {
             // A queued command is lost when the process exits.
             return server.up && server.incarnation == incarnation
-                ? applyCommand(server, command, arrival)
+                ? applyGrant(server, command, arrival)
                 : CommandOutcome::Lost;
         };
-        if (refusesConnections(server) || chance(m_options.faults.refusedConnection)) {
+        if (server.refusesConnections(m_now) || chance(m_options.faults.refusedConnection)) {
             schedule(milliseconds(2), [&sender, id = command.id, this] {
                 sender.onGrant(id, CommandOutcome::NotSent, m_now);
             });
@@ -470,20 +428,6 @@
         }
     }
 
-    auto applyCommand(SimulatedServer &server, const ReleaseCommand &command) -> void
-    {
-        auto kept = std::vector<HeldRange>{};
-        for (const auto &hold : server.holds) {
-            auto table = splitAround({.ranges = {OwnedRange{.keys = hold.keys}}}, command.keys);
-            for (const auto &part : table.ranges) {
-                if (!command.keys.contains(part.keys)) {
-                    kept.push_back({.keys = part.keys, .fence = hold.fence, .until = hold.until});
-                }
-            }
-        }
-        server.holds = std::move(kept);
-    }
-
     auto perform(int controller, const ReleaseCommand &command) -> void
     {
         auto &sender = *m_controllers.at(static_cast<std::size_t>(controller));
@@ -491,7 +435,7 @@
         const auto incarnation = server.incarnation;
         const auto lost = m_now < server.unreachableUntil || chance(m_options.faults.lostCommand);
         const auto responseLost = chance(m_options.faults.lostResponse);
-        if (refusesConnections(server)) {
+        if (server.refusesConnections(m_now)) {
             schedule(milliseconds(2), [&sender, id = command.id, this] {
                 sender.onRelease(id, CommandOutcome::NotSent, "", m_now);
             });
@@ -500,7 +444,7 @@
         schedule(milliseconds(4), [=, this, &server, &sender] {
             const auto runs = !lost && server.up && server.incarnation == incarnation;
             if (runs) {
-                applyCommand(server, command);
+                server.release(command.keys);
             }
             if (runs && !responseLost) {
                 sender.onRelease(command.id, CommandOutcome::Accepted, "token", m_now);
@@ -513,22 +457,6 @@
         }
     }
 
-    [[nodiscard]] static auto sampledKey(unsigned index) -> ShardKey
-    {
-        return index * (shardKeyCount / sampledKeys);
-    }
-    [[nodiscard]] static auto containsKey(const KeyRange &keys, ShardKey key) -> bool
-    {
-        return key >= keys.from && key <= keys.to;
-    }
-    [[nodiscard]] auto holds(const SimulatedServer &server, ShardKey key) const -> bool
-    {
-        return server.up
-            && std::any_of(server.holds.begin(), server.holds.end(), [&](const HeldRange &hold) {
-                   return containsKey(hold.keys, key) && hold.until > m_now;
-               });
-    }
-
     // Checks that no key has two owners, after events that can cause it: a grant or a start.
     auto checkSoleOwnership() -> void
     {
@@ -539,7 +467,7 @@
             auto owners = std::string{};
             auto count = 0;
             for (const auto &server : m_servers) {
-                if (holds(server, sampledKey(i))) {
+                if (server.owns(sampledKey(i), m_now)) {
                     owners.append(" ").append(server.incarnation.server.value());
                     ++count;
                 }
@@ -562,7 +490,8 @@
         auto count = std::size_t{0};
         for (auto i = 0U; i < sampledKeys; ++i) {
             const auto serves = [&](const SimulatedServer &server) {
-                return server.unreachableUntil != TimePoint::max() && holds(server, sampledKey(i));
+                return server.unreachableUntil != TimePoint::max()
+                    && server.owns(sampledKey(i), m_now);
             };
             count += std::any_of(m_servers.begin(), m_servers.end(), serves) ? 0 : 1;
         }
