Share the server thread of the tests of the HTTP server

Cause: two test files each ran a server on a thread of its own in the same way. Change: ServerThread in tests/contract/server_thread; each file keeps its handler.

--- a/tests/contract/http_server_close_test.cpp
+++ b/tests/contract/http_server_close_test.cpp
@@ -1,20 +1,18 @@
 #include "io/http_server.h"
-#include "run_until.h"
+#include "server_thread.h"
 #include "standins/process.h"
 #include "standins/raw_client.h"
 
 #include <doctest/doctest.h>
 
-#include <atomic>
 #include <deque>
-#include <functional>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
 using namespace figlanding;
 using namespace figlanding::standins;
+using namespace figlanding::testing;
 
 namespace {
 
@@ -24,69 +22,46 @@
 constexpr milliseconds pauseOfSlowCaller{3}; ///< after each 16 KiB
 constexpr std::size_t limitBytes{2048}; ///< of headers and bodies, in the servers of this file
 
-/// A server on a thread of its own. GET /long gets a long body, /unframed one that ends with its
+/// A server on its own thread. GET /long gets a long body, /unframed one that ends with its
 /// connection; the response to either waits for go(). Other requests get a short body at once.
-class ServerThread
+class LongBodyServer
 {
 public:
-    explicit ServerThread(HttpServerOptions options = {})
-        : m_options(std::move(options))
-        , m_thread([this] { serve(); })
+    explicit LongBodyServer(HttpServerOptions options = {})
+        : m_server(withLimits(std::move(options)),
+                   [this](EventLoop &, HttpServer &, HttpExchange exchange) {
+                       handle(std::move(exchange));
+                   })
+    { }
+
+    /// Lets the responses that wait go out.
+    auto go() -> void
     {
-        REQUIRE(waitUntil([this] { return port.load() != 0; }, timeout));
+        m_server.run([this](HttpServer &) { respondToAll(); });
     }
-    ServerThread(const ServerThread &) = delete;
-    auto operator=(const ServerThread &) -> ServerThread & = delete;
-    ~ServerThread()
+    auto drain() -> void
     {
-        m_stopping = true;
-        m_thread.join();
+        m_server.run([](HttpServer &server) { server.drain(); });
     }
-    /// Lets the responses that wait go out.
-    auto go() -> void
+    [[nodiscard]] auto port() const -> std::uint16_t
     {
-        m_mayRespond = true;
+        return m_server.port();
     }
-    /// Drains the server.
-    auto drain() -> void
+    [[nodiscard]] auto handled() const -> int
     {
-        m_mayDrain = true;
+        return m_server.handled();
+    }
+    [[nodiscard]] auto lingering() const -> std::size_t
+    {
+        return m_server.lingering();
     }
-
-    std::atomic<std::uint16_t> port{0};
-    std::atomic<int> handled{0};
-    std::atomic<std::size_t> lingering{0};
 
 private:
-    auto serve() -> void
+    static auto withLimits(HttpServerOptions options) -> HttpServerOptions
     {
-        EventLoop loop;
-        m_options.address = {.ip = "127.0.0.1"};
-        m_options.maxHeaderBytes = limitBytes;
-        m_options.maxBodyBytes = limitBytes;
-        auto server = valueOrElse(
-            [&] {
-                return HttpServer::listen(loop, m_options, [this](HttpExchange exchange) {
-                    handle(std::move(exchange));
-                });
-            },
-            [](const Error &) { return std::unique_ptr<HttpServer>(); });
-        Timer control(loop, [&] {
-            lingering = server->lingering();
-            if (m_mayDrain.exchange(false)) {
-                server->drain();
-            }
-            if (m_mayRespond.exchange(false)) {
-                respondToAll();
-            }
-            if (m_stopping) {
-                loop.stop();
-            }
-        });
-        control.startRepeating(milliseconds(2));
-        port = server->port();
-        loop.run();
-        m_waiting.clear();
+        options.maxHeaderBytes = limitBytes;
+        options.maxBodyBytes = limitBytes;
+        return options;
     }
 
     auto handle(HttpExchange exchange) -> void
@@ -97,7 +72,6 @@
         } else {
             exchange.respond({.body = "done"});
         }
-        ++handled;
     }
 
     auto respondToAll() -> void
@@ -109,12 +83,8 @@
         }
     }
 
-    HttpServerOptions m_options;
-    std::atomic<bool> m_mayRespond{false};
-    std::atomic<bool> m_mayDrain{false};
-    std::atomic<bool> m_stopping{false};
     std::vector<HttpExchange> m_waiting;
-    std::thread m_thread;
+    ServerThread m_server;
 };
 
 auto get(const std::string &target, const std::string &fields = "") -> std::string
@@ -146,15 +116,15 @@
     };
     for (const auto &row : rows) {
         CAPTURE(row.name);
-        ServerThread server;
+        LongBodyServer server;
         auto callers = std::deque<RawClient>{};
         constexpr auto callerCount = 6;
         for (auto i = 0; i < callerCount; ++i) {
-            auto &caller = callers.emplace_back(server.port);
+            auto &caller = callers.emplace_back(server.port());
             caller.limitUnread(unreadBytes);
             caller.send(row.request);
         }
-        REQUIRE(waitUntil([&] { return server.handled == callerCount; }, timeout));
+        REQUIRE(waitUntil([&] { return server.handled() == callerCount; }, timeout));
         for (auto &caller : callers) {
             caller.send(get("/behind"));
         }
@@ -166,7 +136,7 @@
             CHECK(bodyBytes(caller.readSlowly(pauseOfSlowCaller, timeout)) == longBodyBytes);
             CHECK_FALSE(caller.resetByPeer());
         }
-        CHECK(server.handled == callerCount);
+        CHECK(server.handled() == callerCount);
     }
 }
 
@@ -193,8 +163,8 @@
     };
     for (const auto &row : rows) {
         CAPTURE(row.name);
-        ServerThread server;
-        RawClient caller(server.port);
+        LongBodyServer server;
+        RawClient caller(server.port());
         caller.send(row.head + std::string(3'000'000, 'b'));
         CHECK(caller.sentAll());
         CHECK(caller.readAll(timeout).starts_with("HTTP/1.1 " + row.status));
@@ -208,8 +178,8 @@
     constexpr auto oneConnection = std::size_t{20'000};
     auto account = HeldBytes({.limit = accountBytes});
     account.add(HeldKind::RequestBody, accountBytes - oneConnection);
-    ServerThread server({.heldBytes = &account});
-    RawClient caller(server.port);
+    LongBodyServer server({.heldBytes = &account});
+    RawClient caller(server.port());
     caller.send("POST /echo HTTP/1.1\r\nhost: a\r\nx: " + std::string(limitBytes - 100, 'a')
                 + "\r\ncontent-length: 2000\r\n\r\n" + std::string(2000, 'b'));
     CHECK(caller.sentAll());
@@ -220,22 +190,22 @@
 TEST_CASE("callers that never end their connections keep no others out")
 {
     constexpr auto limit = 3U;
-    ServerThread server({.maxConnections = limit});
+    LongBodyServer server({.maxConnections = limit});
     auto crowd = std::deque<RawClient>{};
     for (auto i = 0; i < 20; ++i) {
-        auto &caller = crowd.emplace_back(server.port);
+        auto &caller = crowd.emplace_back(server.port());
         caller.send(get("/short", "connection: close\r\n"));
         CHECK(caller.readAll(timeout).starts_with("HTTP/1.1 200"));
-        CHECK(server.lingering <= limit);
+        CHECK(server.lingering() <= limit);
     }
-    CHECK(waitUntil([&] { return server.lingering > 0; }, timeout));
-    CHECK(waitUntil([&] { return server.lingering == 0; }, timeout)); // after a bounded time
+    CHECK(waitUntil([&] { return server.lingering() > 0; }, timeout));
+    CHECK(waitUntil([&] { return server.lingering() == 0; }, timeout)); // after a bounded time
 }
 
 TEST_CASE("a caller that sends without end is cut off")
 {
-    ServerThread server;
-    RawClient caller(server.port);
+    LongBodyServer server;
+    RawClient caller(server.port());
     caller.send("POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999\r\n\r\n");
     const auto part = std::string(1'000'000, 'b');
     for (auto i = 0; i < 100 && caller.sentAll(); ++i) {
@@ -243,8 +213,8 @@
         caller.readAll(milliseconds(1));
     }
     CHECK_FALSE(caller.sentAll());
-    CHECK(waitUntil([&] { return server.lingering == 0; }, milliseconds(1000)));
-    RawClient other(server.port);
+    CHECK(waitUntil([&] { return server.lingering() == 0; }, milliseconds(1000)));
+    RawClient other(server.port());
     other.send(get("/short"));
     CHECK(other.readUntil("done", timeout).find("200 OK") != std::string::npos);
 }
@@ -252,13 +222,13 @@
 // Guards against requests that are read and not answered, as a caller cannot send those again.
 TEST_CASE("a connection that was idle for too long is closed without reading from it")
 {
-    ServerThread server({.idleTimeout = seconds(1)});
-    RawClient caller(server.port);
+    LongBodyServer server({.idleTimeout = seconds(1)});
+    RawClient caller(server.port());
     caller.send(get("/short"));
     CHECK(caller.readUntil("done", timeout).find("200 OK") != std::string::npos);
     CHECK(caller.readAll(timeout).empty());
     REQUIRE(caller.closedByPeer());
     caller.send(get("/late"));
-    CHECK(server.lingering == 0);
-    CHECK(server.handled == 1);
+    CHECK(server.lingering() == 0);
+    CHECK(server.handled() == 1);
 }
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -1,5 +1,6 @@
 #include "io/http_server.h"
 #include "run_until.h"
+#include "server_thread.h"
 #include "standins/process.h"
 #include "standins/raw_client.h"
 
@@ -13,6 +14,7 @@
 
 using namespace figlanding;
 using namespace figlanding::standins;
+using namespace figlanding::testing;
 
 namespace {
 
@@ -28,63 +30,38 @@
 /// callback, /close-delimited?SIZE responds with a body that ends with the connection, /hold never
 /// responds, /abort closes the connection, /drop destroys the request handle without a response,
 /// /drain drains the server and responds.
-class ServerThread
+class PathServer
 {
 public:
-    explicit ServerThread(seconds idleTimeout = HttpServerOptions{}.idleTimeout)
-        : m_idleTimeout(idleTimeout)
-        , m_thread([this] { serve(); })
+    explicit PathServer(seconds idleTimeout = HttpServerOptions{}.idleTimeout)
+        : m_server({.maxHeaderBytes = 2048, .maxBodyBytes = 1000, .idleTimeout = idleTimeout},
+                   [this](EventLoop &loop, HttpServer &server, const HttpExchange &exchange) {
+                       handle(loop, server, exchange);
+                   })
+    { }
+
+    [[nodiscard]] auto port() const -> std::uint16_t
     {
-        REQUIRE(waitUntil([this] { return port.load() != 0; }, timeout));
+        return m_server.port();
     }
-    ServerThread(const ServerThread &) = delete;
-    auto operator=(const ServerThread &) -> ServerThread & = delete;
-    ~ServerThread()
+    [[nodiscard]] auto handled() const -> int
     {
-        stopping = true;
-        m_thread.join();
+        return m_server.handled();
     }
-
-    std::atomic<std::uint16_t> port{0};
-    std::atomic<int> handled{0};
-    std::atomic<int> abandoned{0};
-    std::atomic<bool> stopping{false};
-
-private:
-    auto serve() -> void
+    /// Returns the number of requests whose clients have disconnected.
+    [[nodiscard]] auto abandoned() const -> int
     {
-        EventLoop loop;
-        auto server = valueOrElse(
-            [&] {
-                return HttpServer::listen(
-                    loop,
-                    {.address = {"127.0.0.1", 0},
-                     .maxHeaderBytes = 2048,
-                     .maxBodyBytes = 1000,
-                     .idleTimeout = m_idleTimeout},
-                    [&](const HttpExchange &exchange) { handle(loop, exchange); });
-            },
-            [](const Error &) { return std::unique_ptr<HttpServer>(); });
-        m_server = server.get();
-        Timer stop(loop, [&] {
-            if (stopping) {
-                loop.stop();
-            }
-        });
-        stop.startRepeating(milliseconds(2));
-        port = server->port();
-        loop.run();
-        m_held.clear();
+        return m_abandoned;
     }
 
-    auto handle(EventLoop &loop, HttpExchange exchange) -> void
+private:
+    auto handle(EventLoop &loop, HttpServer &server, HttpExchange exchange) -> void
     {
-        ++handled;
         const auto &target = exchange.request().target;
         if (target == "/later") {
             post(loop, [exchange]() mutable { exchange.respond({.body = "later"}); });
         } else if (target == "/hold") {
-            exchange.onAbandoned([this] { ++abandoned; });
+            exchange.onAbandoned([this] { ++m_abandoned; });
             m_held.push_back(exchange);
         } else if (target == "/abort") {
             exchange.abort();
@@ -92,7 +69,7 @@
             const auto size = std::stoul(target.substr(target.find('?') + 1));
             exchange.respond({.body = repeated(size), .bodyEnd = BodyEnd::ConnectionEnd});
         } else if (target == "/drain") {
-            m_server->drain();
+            server.drain();
             exchange.respond({.body = "draining"});
         } else if (target != "/drop") {
             exchange.respond(
@@ -100,10 +77,9 @@
         }
     }
 
-    HttpServer *m_server = nullptr;
+    std::atomic<int> m_abandoned{0};
     std::vector<HttpExchange> m_held;
-    seconds m_idleTimeout;
-    std::thread m_thread;
+    ServerThread m_server;
 };
 
 auto statusOf(const std::string &response) -> int
@@ -163,13 +139,13 @@
 {
     for (const auto &exchange : exchanges()) {
         CAPTURE(exchange.name);
-        ServerThread server;
-        RawClient client(server.port);
+        PathServer server;
+        RawClient client(server.port());
         client.send(exchange.request);
         client.shutdownWrite();
         const auto response = client.readAll(timeout);
         CHECK(statusOf(response) == exchange.status);
-        CHECK(server.handled == exchange.handled);
+        CHECK(server.handled() == exchange.handled);
         CHECK(response.find(exchange.body) != std::string::npos);
         CHECK(client.closedByPeer());
     }
@@ -184,19 +160,19 @@
     };
     for (const auto &partialRequest : partialRequests) {
         CAPTURE(partialRequest);
-        ServerThread server;
-        RawClient client(server.port);
+        PathServer server;
+        RawClient client(server.port());
         client.send("POST /echo HTTP/1.1\r\nhost: a\r\n" + partialRequest);
         client.shutdownWrite();
         CHECK(statusOf(client.readAll(timeout)) != 200);
-        CHECK(server.handled == 0);
+        CHECK(server.handled() == 0);
     }
 }
 
 TEST_CASE("pipelined requests are served in order")
 {
-    ServerThread server;
-    RawClient client(server.port);
+    PathServer server;
+    RawClient client(server.port());
     const auto request = [](const std::string &path) {
         return "GET " + path + " HTTP/1.1\r\nhost: a\r\n\r\n";
     };
@@ -207,16 +183,16 @@
     CHECK(responses.find("later") < echo);
     CHECK(responses.rfind("later") > echo);
     CHECK(responses.find("GET/last") > responses.rfind("later"));
-    CHECK(server.handled == 4);
+    CHECK(server.handled() == 4);
 }
 
 TEST_CASE("onAbandoned runs when the client of a pending request disconnects")
 {
-    ServerThread server;
-    RawClient client(server.port);
+    PathServer server;
+    RawClient client(server.port());
     client.send("GET /hold HTTP/1.1\r\nhost: a\r\n\r\n");
-    REQUIRE(waitUntil([&] { return server.handled == 1; }, timeout));
-    CHECK(server.abandoned == 0);
+    REQUIRE(waitUntil([&] { return server.handled() == 1; }, timeout));
+    CHECK(server.abandoned() == 0);
     SUBCASE("by closing")
     {
         client.close();
@@ -226,27 +202,27 @@
         client.send("GET /echo HTTP/1.1\r\nhost: a\r\n\r\n");
         client.close();
     }
-    CHECK(waitUntil([&] { return server.abandoned == 1; }, timeout));
-    RawClient other(server.port);
+    CHECK(waitUntil([&] { return server.abandoned() == 1; }, timeout));
+    RawClient other(server.port());
     other.send("GET /echo HTTP/1.1\r\nhost: a\r\n\r\n");
     CHECK(other.readUntil("GET/echo", timeout).find("GET/echo") != std::string::npos);
-    CHECK(server.abandoned == 1);
+    CHECK(server.abandoned() == 1);
 }
 
 TEST_CASE("onAbandoned runs when the client disconnects before the request is handled")
 {
-    ServerThread server;
-    RawClient client(server.port);
+    PathServer server;
+    RawClient client(server.port());
     client.send("GET /hold HTTP/1.1\r\nhost: a\r\n\r\n");
     client.close();
-    CHECK(waitUntil([&] { return server.abandoned == 1; }, timeout));
+    CHECK(waitUntil([&] { return server.abandoned() == 1; }, timeout));
 }
 
 TEST_CASE("a draining server finishes open connections and takes no new ones")
 {
-    ServerThread server;
-    RawClient open(server.port);
-    RawClient drainer(server.port);
+    PathServer server;
+    RawClient open(server.port());
+    RawClient drainer(server.port());
     open.send("GET /echo HTTP/1.1\r\nhost: a\r\n\r\n");
     CHECK(open.readUntil("GET/echo", timeout).find("GET/echo") != std::string::npos);
     drainer.send("GET /drain HTTP/1.1\r\nhost: a\r\n\r\n");
@@ -255,7 +231,7 @@
     const auto response = open.readAll(timeout);
     CHECK(response.find("GET/last") != std::string::npos);
     CHECK(response.find("close") != std::string::npos);
-    RawClient late(server.port);
+    RawClient late(server.port());
     late.send("GET /echo HTTP/1.1\r\nhost: a\r\n\r\n");
     CHECK(late.readAll(noResponseDelay).empty());
 }
@@ -289,10 +265,10 @@
 
 TEST_CASE("destroying a server with pending requests does not run onAbandoned")
 {
-    auto server = std::make_unique<ServerThread>();
-    RawClient client(server->port);
+    auto server = std::make_unique<PathServer>();
+    RawClient client(server->port());
     client.send("GET /hold HTTP/1.1\r\nhost: a\r\n\r\n");
-    REQUIRE(waitUntil([&] { return server->handled == 1; }, timeout));
+    REQUIRE(waitUntil([&] { return server->handled() == 1; }, timeout));
     server.reset();
     CHECK(client.readAll(timeout).empty());
     CHECK(client.closedByPeer());
@@ -300,10 +276,10 @@
 
 TEST_CASE("a close-delimited response has no length and its connection ends normally after it")
 {
-    ServerThread server;
+    PathServer server;
     for (const auto size : {std::size_t{0}, std::size_t{1}, std::size_t{3'000'000}}) {
         CAPTURE(size);
-        RawClient client(server.port);
+        RawClient client(server.port());
         client.send("GET /close-delimited?" + std::to_string(size)
                     + " HTTP/1.1\r\nhost: a\r\n\r\n");
         const auto response = client.readAll(timeout);
@@ -322,8 +298,8 @@
     constexpr auto size = std::size_t{5'000'000};
     for (auto round = 0; round < 20; ++round) {
         CAPTURE(round);
-        auto server = std::make_unique<ServerThread>();
-        RawClient client(server->port);
+        auto server = std::make_unique<PathServer>();
+        RawClient client(server->port());
         client.send("GET /close-delimited?" + std::to_string(size)
                     + " HTTP/1.1\r\nhost: a\r\n\r\n");
         auto received = client.readUntil("aaa", timeout);
@@ -338,11 +314,11 @@
 
 TEST_CASE("listening on a port in use fails with IoFailure")
 {
-    ServerThread server;
+    PathServer server;
     EventLoop loop;
     const auto code = valueOrElse(
         [&]() -> Result<ErrorCode> {
-            BOOST_LEAF_CHECK(HttpServer::listen(loop, {.address = {"127.0.0.1", server.port}},
+            BOOST_LEAF_CHECK(HttpServer::listen(loop, {.address = {"127.0.0.1", server.port()}},
                                                 [](const HttpExchange &) {}));
             return ErrorCode::Internal;
         },
@@ -382,8 +358,8 @@
     constexpr auto rounds = 200;
     for (const auto &row : rows) {
         CAPTURE(row.name);
-        ServerThread server(seconds(1));
-        RawClient client(server.port);
+        PathServer server(seconds(1));
+        RawClient client(server.port());
         client.send(row.start);
         auto burst = std::string{};
         while (burst.size() < 16'000) {
@@ -397,8 +373,8 @@
         response += client.readAll(timeout);
         CHECK(client.closedByPeer());
         CHECK(std::count(row.statuses.begin(), row.statuses.end(), statusOf(response)) == 1);
-        CHECK(server.handled == 0);
-        RawClient other(server.port);
+        CHECK(server.handled() == 0);
+        RawClient other(server.port());
         other.send("GET /echo HTTP/1.1\r\nhost: a\r\n\r\n");
         CHECK(other.readUntil("GET/echo", timeout).find("GET/echo") != std::string::npos);
     }
