Linger for callers who have said that they send nothing more only if they have sent it

Change: such connections linger only if unread input is there when they are closed. Result: contract tests of the server and of stops pass, with a request sent behind such a one. Why it works: without input, unread or to come, a close does not reset.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -158,7 +158,7 @@
 {
     request.started = true;
     collectHeaders(request);
-    request.endsConnection = request.message.headers.find("connection") == "close";
+    request.connection->endedByClient = request.message.headers.find("connection") == "close";
     request.rejection = validateHeader(request, options);
     if (!request.rejection && !reserve(request)) {
         reject(request, noMemoryResponse(request.message, options));
@@ -246,7 +246,7 @@
     -> MHD_Result
 {
     const auto isLong = response.body.size() > longResponseBytes;
-    request.endsConnection = request.endsConnection || endsConnection(response);
+    request.endsConnection = request.connection->endedByClient || endsConnection(response);
     const auto queued = sendResponse(request.handle, response, std::move(share));
     if (queued == MHD_YES && isLong) {
         expectReading(request);
--- a/src/io/http_server_connections.cpp
+++ b/src/io/http_server_connections.cpp
@@ -20,6 +20,12 @@
                               static_cast<unsigned>(timeout.count()));
 }
 
+auto hasInput(int fd) -> bool
+{
+    auto byte = char{};
+    return ::recv(fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 // Returns whether a request that has ended got a response that ends its connection.
 auto isLastOfConnection(const ReceivedRequest &request, MHD_RequestTerminationCode code) -> bool
 {
@@ -147,7 +153,10 @@
     if (connections.size() >= options.maxConnections) {
         scheduleRun();
     }
-    auto socket = connection.lingers ? duplicate(connection.fd) : FileDescriptor();
+    // A client that keeps its word sends nothing more.
+    const auto lingers =
+        connection.lingers && (!connection.endedByClient || hasInput(connection.fd));
+    auto socket = lingers ? duplicate(connection.fd) : FileDescriptor();
     connections.erase(connection.id);
     if (socket.get() >= 0) {
         lingering.add(std::move(socket));
--- a/src/io/http_server_request.h
+++ b/src/io/http_server_request.h
@@ -24,6 +24,7 @@
     int fd = -1;
     bool peerClosed = false; ///< the client closed the connection or its sending side
     TimePoint idleSince; ///< begin of the time without a request, unless there is one
+    bool endedByClient = false; ///< the client has said that its last request is the last one
     /// Its last response ends it, and was written: what the client sends now is to be discarded.
     bool lingers = false;
     bool stallTimeoutSet = false; ///< libmicrohttpd has the stall timeout instead of the idle one
