--- a/include/figlanding/gateway/server_registry.h
+++ b/include/figlanding/gateway/server_registry.h
@@ -96,10 +96,10 @@
     }
     /// Returns whether the owner of a key can be sent requests for it.
     [[nodiscard]] auto ownerState(const ServerIncarnation &owner) const -> OwnerState;
-    /// Returns whether a server that is not registered any more has been followed by another one,
-    /// which started later, at its address.
-    [[nodiscard]] auto hasSuccessorAt(const SocketAddress &address,
-                                      const ServerIncarnation &gone) const -> bool;
+    /// Returns whether the last server that announced itself at an address is registered and
+    /// started after @p unixMs.
+    [[nodiscard]] auto hasLaterServerAt(const SocketAddress &address, std::int64_t unixMs) const
+        -> bool;
     /// Returns when a server was removed; nothing if it never was, or is registered.
     [[nodiscard]] auto goneSince(const BackendServerId &id) const -> std::optional<TimePoint>;
     /// Returns whether a server accepts new requests: it is neither draining nor leaving, its zone
@@ -114,7 +114,10 @@
     }
 
 private:
+    auto noteAddress(const ServerEntry &entry) -> void;
+
     std::map<BackendServerId, RegisteredServer> m_servers;
+    std::map<SocketAddress, BackendServerId> m_latestAt; ///< with the latest start, by address
     std::map<BackendServerId, TimePoint> m_removals;
     std::map<BackendServerId, TimePoint> m_goneSince; ///< removed lately
     std::set<AvailabilityZoneId> m_evacuated;
--- a/src/core/gateway/key_controller_leases.cpp
+++ b/src/core/gateway/key_controller_leases.cpp
@@ -170,11 +170,12 @@
 // An address is reused only after its server has exited. Whatever a cut can cause is no proof.
 auto KeyController::ownerExited(const Range &range, const ServerRegistry &registry) const -> bool
 {
-    if (range.addressReused) {
-        return true;
+    if (range.addressReused || registry.find(range.owned.owner.server) != nullptr) {
+        return range.addressReused;
     }
-    const auto address = addressOf(range.owned.owner);
-    return address && registry.hasSuccessorAt(*address, range.owned.owner);
+    const auto address = m_addresses.find(range.owned.owner);
+    return address != m_addresses.end()
+        && registry.hasLaterServerAt(address->second, range.owned.owner.startedUnixMs);
 }
 
 // Returns whether the next grant may renew the lease, or begin it anew if it has ended, as after a
--- a/src/core/gateway/server_registry.cpp
+++ b/src/core/gateway/server_registry.cpp
@@ -1,6 +1,5 @@
 #include "figlanding/gateway/server_registry.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace figlanding {
@@ -36,6 +35,9 @@
     server.leaving = !newIncarnation && server.leaving;
     server.firstSeenAt = newIncarnation ? now : server.firstSeenAt;
     server.coldUntil = now + entry.coldRemaining;
+    if (newIncarnation) {
+        noteAddress(entry);
+    }
 }
 
 auto ServerRegistry::onLeaving(const ServerIncarnation &server) -> bool
@@ -63,6 +65,7 @@
         const auto due = item.second <= now;
         if (due) {
             m_servers.erase(item.first);
+            std::erase_if(m_latestAt, [&](const auto &at) { return at.second == item.first; });
             m_goneSince[item.first] = now;
         }
         return due;
@@ -102,14 +105,23 @@
     return acceptsRequests(*server) ? OwnerState::Usable : OwnerState::Leaving;
 }
 
-auto ServerRegistry::hasSuccessorAt(const SocketAddress &address,
-                                    const ServerIncarnation &gone) const -> bool
+auto ServerRegistry::hasLaterServerAt(const SocketAddress &address, std::int64_t unixMs) const
+    -> bool
 {
-    return find(gone.server) == nullptr
-        && std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &item) {
-               const auto &entry = item.second.entry;
-               return entry.address == address && entry.startedUnixMs > gone.startedUnixMs;
-           });
+    const auto latest = m_latestAt.find(address);
+    const auto *server = latest == m_latestAt.end() ? nullptr : find(latest->second);
+    return server != nullptr && server->entry.address == address
+        && server->entry.startedUnixMs > unixMs;
+}
+
+auto ServerRegistry::noteAddress(const ServerEntry &entry) -> void
+{
+    auto &latest = m_latestAt[entry.address];
+    const auto *known = find(latest);
+    if (known == nullptr || known->entry.address != entry.address
+        || known->entry.startedUnixMs <= entry.startedUnixMs) {
+        latest = entry.id;
+    }
 }
 
 auto ServerRegistry::goneSince(const BackendServerId &id) const -> std::optional<TimePoint>
