--- a/tests/contract/gateway_deployment.h
+++ b/tests/contract/gateway_deployment.h
@@ -73,6 +73,8 @@
     auto server(std::size_t index) -> PlatformServer &;
     /// Returns a VM; a test may destroy it, as a crash would.
     auto vm(std::size_t index) -> std::unique_ptr<Vm> &;
+    /// Starts a further VM.
+    auto startVm() -> void;
     /// Lets a server announce that it is draining, now and from now on.
     auto drain(std::size_t index) -> void;
 
@@ -89,8 +91,6 @@
 
     auto freeAddress() -> SocketAddress;
 
-    auto startVm() -> void;
-
     auto addServer(const std::string &id, const std::string &service, bool keyed) -> void;
 
     auto announce() -> void;
--- /dev/null
+++ b/tests/contract/odd_entry_test.cpp
@@ -0,0 +1,167 @@
+#include "gateway_deployment.h"
+#include "run_until.h"
+#include "standins/platform_store.h"
+#include "store_client.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace figlanding;
+using namespace figlanding::standins;
+using figlanding::platform::StoreClient;
+
+namespace {
+
+// Names that another writer may give its entries.
+auto oddNames() -> std::vector<std::string>
+{
+    return {"%",
+            "%zz",
+            "%41",
+            "100%",
+            "a b",
+            " ",
+            "a\nb",
+            "a\r\nb",
+            "a\x7f",
+            "a+b",
+            "a&b",
+            "a#b",
+            "a=b",
+            "a?b",
+            "a&after=zzzz",
+            "a\"b",
+            "a\\b",
+            "/..",
+            "~a",
+            "\t",
+            "Zürich",
+            "&part=1",
+            "a&Topic=other",
+            "+",
+            "a\x01\x1f",
+            "#",
+            "a;b,c",
+            "日本語",
+            std::string("a\0b", 3)};
+}
+
+// A store, and a client of it.
+struct ReadStore
+{
+    explicit ReadStore(PlatformStoreOptions options)
+        : store(loop, options)
+    {
+        const auto started = settle([&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(store.start());
+            return true;
+        });
+        REQUIRE(static_cast<bool>(started));
+        client.emplace(http, store.address());
+    }
+
+    // Returns the keys of a topic's snapshot, or the error as the only one.
+    auto newestKeys(const std::string &topic) -> std::vector<std::string>
+    {
+        auto result = std::optional<Settled<KeyedSnapshot>>{};
+        client->readNewest({.topic = topic},
+                           [&](auto snapshot) { result.emplace(std::move(snapshot)); });
+        figlanding::testing::runUntil(
+            loop, [&] { return result.has_value(); }, seconds(5));
+        REQUIRE(result.has_value());
+        if (!*result) {
+            return {"error: " + describe(result->error())};
+        }
+        auto keys = std::vector<std::string>{};
+        for (const auto &record : result->value().records) {
+            keys.push_back(record.key);
+        }
+        return keys;
+    }
+
+    EventLoop loop;
+    PlatformStore store;
+    HttpClient http{loop, {}};
+    std::optional<StoreClient> client;
+};
+
+// Writes entries with the names to a topic. Returns the names in the order of the store.
+auto write(PlatformStore &store, const std::string &topic, std::vector<std::string> names)
+    -> std::vector<std::string>
+{
+    for (const auto &name : names) {
+        store.put(topic, name, "{}");
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+// Seven names, of which the one at @p position ends with an odd name.
+auto withOddNameAt(std::size_t position, const std::string &oddName) -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>{"b", "d", "f", "h", "j", "l", "n"};
+    names.at(position) += oddName;
+    return names;
+}
+
+auto checkEachPosition(const PlatformStoreOptions &options) -> void
+{
+    auto reader = ReadStore(options);
+    auto topics = 0;
+    for (const auto &oddName : oddNames()) {
+        for (std::size_t position = 0; position < 7; ++position) {
+            const auto topic = std::string("t").append(std::to_string(topics++));
+            const auto names = write(reader.store, topic, withOddNameAt(position, oddName));
+            CAPTURE(oddName);
+            CAPTURE(position);
+            CHECK(reader.newestKeys(topic) == names);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("an entry with an odd name ends no snapshot, wherever it stands on the pages")
+{
+    for (const auto plusSign : {PlusSign::Itself, PlusSign::Blank}) {
+        for (const auto pageRecords : {std::size_t{1}, std::size_t{2}, std::size_t{3}}) {
+            CAPTURE(pageRecords);
+            checkEachPosition({.pageRecords = pageRecords, .plusSign = plusSign});
+        }
+    }
+}
+
+TEST_CASE("a topic with odd names only is read to its end")
+{
+    for (const auto plusSign : {PlusSign::Itself, PlusSign::Blank}) {
+        auto reader = ReadStore({.pageRecords = 1, .plusSign = plusSign});
+        const auto names = write(reader.store, "keyed.servers", oddNames());
+        CHECK(reader.newestKeys("keyed.servers") == names);
+    }
+}
+
+TEST_CASE("an entry with an empty name at the end of the first page ends no snapshot")
+{
+    auto reader = ReadStore({.pageRecords = 1});
+    const auto names = write(reader.store, "keyed.servers", {"", "a", "b"});
+    CHECK(reader.newestKeys("keyed.servers") == names);
+}
+
+TEST_CASE("a VM that starts while odd entries stand in the store's topics serves")
+{
+    auto deployment = GatewayDeployment(0);
+    for (const auto *topic : {"keyed.servers", "keyed.op", "keyed.status"}) {
+        for (const auto &name : oddNames()) {
+            deployment.store().put(topic, name, "{}");
+            deployment.store().put(topic, "server-" + name, "no object");
+            deployment.store().put(topic, "rollout/" + name, "[]");
+        }
+    }
+    deployment.startVm();
+    CHECK(deployment.serves(0, "/read/1"));
+    CHECK(deployment.serves(0, "/keyed/1"));
+}
--- a/tests/standins/platform_store.cpp
+++ b/tests/standins/platform_store.cpp
@@ -26,21 +26,11 @@
     return text;
 }
 
-auto queryNumber(const HttpRequest &request, const char *name) -> std::uint64_t
-{
-    const auto text = queryParameter(request.target, name);
-    return text ? std::stoull(std::string(*text)) : 0;
-}
-
-auto queryTopic(const HttpRequest &request) -> std::string
-{
-    return std::string(queryParameter(request.target, "Topic").value_or(""));
-}
-
 } // namespace
 
-PlatformStore::PlatformStore(EventLoop &loop)
+PlatformStore::PlatformStore(EventLoop &loop, PlatformStoreOptions options)
     : m_loop(loop)
+    , m_options(options)
     , m_timer(loop, [this] { completePendingReads(); })
 { }
 
@@ -83,22 +73,29 @@
 
 auto PlatformStore::handle(HttpExchange exchange) -> void
 {
-    constexpr auto unavailable = 503;
+    constexpr auto badRequest = 400;
     constexpr auto notFound = 404;
+    constexpr auto unavailable = 503;
     m_calls += 1;
-    const auto path = pathOf(exchange.request().target);
     if (m_faults.silent) {
         m_unanswered.push_back(std::move(exchange));
-    } else if (m_faults.down) {
+        return;
+    }
+    if (m_faults.down) {
         exchange.respond({.status = unavailable});
-    } else if (path == "/api/log-read") {
-        read(std::move(exchange));
-    } else if (path == "/api/log-append") {
-        append(std::move(exchange));
-    } else if (path == "/api/log-newest") {
-        newest(std::move(exchange));
-    } else if (path == "/api/log-join" || path == "/api/log-leave") {
-        join(std::move(exchange));
+        return;
+    }
+    const auto call = parseStoreCall(exchange.request().target, m_options.plusSign);
+    if (!call) {
+        exchange.respond({.status = badRequest});
+    } else if (call->path == "/api/log-read") {
+        read(std::move(exchange), *call);
+    } else if (call->path == "/api/log-append") {
+        append(std::move(exchange), *call);
+    } else if (call->path == "/api/log-newest") {
+        newest(std::move(exchange), *call);
+    } else if (call->path == "/api/log-join" || call->path == "/api/log-leave") {
+        join(std::move(exchange), *call);
     } else {
         exchange.respond({.status = notFound});
     }
@@ -118,17 +115,16 @@
     return {.status = 200, .body = std::move(body)};
 }
 
-auto PlatformStore::read(HttpExchange exchange) -> void
+auto PlatformStore::read(HttpExchange exchange, const StoreCall &call) -> void
 {
     constexpr auto gone = 410;
-    const auto &request = exchange.request();
-    const auto topic = queryTopic(request);
-    const auto from = queryNumber(request, "From");
+    const auto topic = call.text("Topic");
+    const auto from = call.number("From");
     if (m_faults.truncatedHistory && from < m_topics[topic].size()) {
         exchange.respond({.status = gone, .body = "{\"First\":0}"});
         return;
     }
-    const auto until = m_loop.now() + milliseconds(queryNumber(request, "WaitMs"));
+    const auto until = m_loop.now() + milliseconds(call.number("WaitMs"));
     m_pendingReads.push_back(
         {.exchange = std::move(exchange), .topic = topic, .from = from, .until = until});
     completePendingReads();
@@ -146,17 +142,16 @@
     }
 }
 
-auto PlatformStore::append(HttpExchange exchange) -> void
+auto PlatformStore::append(HttpExchange exchange, const StoreCall &call) -> void
 {
     constexpr auto preconditionFailed = 412;
-    const auto &request = exchange.request();
-    auto &records = m_topics[queryTopic(request)];
-    if (queryParameter(request.target, "At") && queryNumber(request, "At") != records.size()) {
+    auto &records = m_topics[call.text("Topic")];
+    if (call.find("At") && call.number("At") != records.size()) {
         exchange.respond(jsonResponse(preconditionFailed, json{{"End", records.size()}}.dump()));
         return;
     }
     const auto offset = records.size();
-    const auto record = std::string_view(request.body).substr(lengthBytes);
+    const auto record = std::string_view(exchange.request().body).substr(lengthBytes);
     const auto keyLength = static_cast<unsigned char>(record.front());
     const auto value = record.substr(1 + keyLength);
     records.push_back({.key = std::string(record.substr(1, keyLength)),
@@ -169,22 +164,21 @@
     exchange.respond(jsonResponse(200, json{{"Offset", offset}, {"End", records.size()}}.dump()));
 }
 
-auto PlatformStore::newest(HttpExchange exchange) -> void
+auto PlatformStore::newest(HttpExchange exchange, const StoreCall &call) -> void
 {
-    const auto &records = m_topics[queryTopic(exchange.request())];
+    const auto &records = m_topics[call.text("Topic")];
     auto last = std::map<std::string, std::uint64_t>{};
     for (std::uint64_t offset = 0; offset < records.size(); ++offset) {
         last[records[offset].key] = offset;
     }
-    const auto after = queryParameter(exchange.request().target, "after");
+    const auto after = call.find("after");
     auto items = json::array();
     auto more = false;
-    constexpr auto pageSize = std::size_t{3}; // small, so that tests read several pages
     for (const auto &[key, offset] : last) {
         if (!records[offset].value || (after && key <= *after)) {
             continue;
         }
-        if (items.size() == pageSize) {
+        if (items.size() == m_options.pageRecords) {
             more = true;
             break;
         }
@@ -195,13 +189,12 @@
         jsonResponse(200, json{{"items", items}, {"More", more}, {"End", records.size()}}.dump()));
 }
 
-auto PlatformStore::join(HttpExchange exchange) -> void
+auto PlatformStore::join(HttpExchange exchange, const StoreCall &call) -> void
 {
-    const auto &request = exchange.request();
-    const auto body = json::parse(request.body);
+    const auto body = json::parse(exchange.request().body);
     auto &members = m_groups[body.at("group").get<std::string>()];
     const auto member = body.at("Member").get<std::string>();
-    if (pathOf(request.target) == "/api/log-leave") {
+    if (call.path == "/api/log-leave") {
         members.erase(member);
         exchange.respond(jsonResponse(200, "{}"));
         return;
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/http_server.h"
+#include "standins/store_call.h"
 
 #include <cstdint>
 #include <list>
@@ -24,11 +25,18 @@
     bool truncatedHistory = false; ///< reads before the end get 410
 };
 
+/// How the store pages and reads calls.
+struct PlatformStoreOptions
+{
+    std::size_t pageRecords = 3; ///< newest records on a page; few, so that tests read several
+    PlusSign plusSign = PlusSign::Itself;
+};
+
 /// Keeps records and group memberships in memory.
 class PlatformStore
 {
 public:
-    explicit PlatformStore(EventLoop &loop);
+    explicit PlatformStore(EventLoop &loop, PlatformStoreOptions options = {});
     ~PlatformStore();
     PlatformStore(const PlatformStore &) = delete;
     auto operator=(const PlatformStore &) -> PlatformStore & = delete;
@@ -62,14 +70,15 @@
     };
 
     auto handle(HttpExchange exchange) -> void;
-    auto read(HttpExchange exchange) -> void;
-    auto append(HttpExchange exchange) -> void;
-    auto newest(HttpExchange exchange) -> void;
-    auto join(HttpExchange exchange) -> void;
+    auto read(HttpExchange exchange, const StoreCall &call) -> void;
+    auto append(HttpExchange exchange, const StoreCall &call) -> void;
+    auto newest(HttpExchange exchange, const StoreCall &call) -> void;
+    auto join(HttpExchange exchange, const StoreCall &call) -> void;
     auto completePendingReads() -> void;
     [[nodiscard]] auto page(const std::string &topic, std::uint64_t from) const -> HttpResponse;
 
     EventLoop &m_loop;
+    PlatformStoreOptions m_options;
     PlatformStoreFaults m_faults;
     std::unique_ptr<HttpServer> m_server;
     Timer m_timer;
