Let the tests' VMs take ports that are free for datagrams as well

What was seen: contract.gateway_test failed once in a run of the contract tests with four jobs, beside the linter: "cannot bind UDP socket to 127.0.0.1:22649: Address already in use".

Cause: a VM binds its port for the fleet with UDP, and the test deployment looked for a port that is free for TCP. Another test process at the same numbers had it.

Change: a port counts as free if both can be bound.

That the collision cannot come again is not shown: the port is bound some milliseconds after it was looked for.

--- a/tests/contract/gateway_deployment.cpp
+++ b/tests/contract/gateway_deployment.cpp
@@ -1,5 +1,6 @@
 #include "gateway_deployment.h"
 
+#include "gateway/datagram_socket.h"
 #include "run_until.h"
 
 #include <doctest/doctest.h>
@@ -144,15 +145,17 @@
     static auto next = std::random_device{}() % ports;
     for (;;) {
         next = (next + 1) % ports;
-        const auto port = static_cast<std::uint16_t>(firstPort + next);
+        const auto address =
+            SocketAddress{.ip = "127.0.0.1", .port = static_cast<std::uint16_t>(firstPort + next)};
         const auto isFree = valueOrElse(
             [&]() -> Result<bool> {
-                BOOST_LEAF_CHECK(listenOn({"127.0.0.1", port}));
+                BOOST_LEAF_CHECK(listenOn(address));
+                BOOST_LEAF_CHECK(DatagramSocket::bind(m_loop, address, [](auto, const auto &) {}));
                 return true;
             },
             [](const Error &) { return false; });
         if (isFree) {
-            return {"127.0.0.1", port};
+            return address;
         }
     }
 }
