--- /dev/null
+++ b/tests/contract/store_pages_test.cpp
@@ -0,0 +1,76 @@
+#include "store_pages.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace figlanding;
+using figlanding::platform::NewestPage;
+using figlanding::platform::parseLogPage;
+using figlanding::platform::parseNewestPage;
+
+namespace {
+
+const auto firstItem = std::string(R"({"Key":"a","Value":"eA==","Offset":1})");
+const auto lastItem = std::string(R"({"Key":"z","Value":"eA==","Offset":2})");
+
+// Returns a page whose second of three items is @p item.
+auto pageWith(std::string_view item) -> std::string
+{
+    auto body = R"({"items":[)" + firstItem + ",";
+    return body.append(item).append("," + lastItem + R"(],"More":true,"End":3})");
+}
+
+// Returns the keys of a page, or the error as the only one.
+auto keysOf(const Settled<NewestPage> &page) -> std::vector<std::string>
+{
+    if (!page) {
+        return {describe(page.error())};
+    }
+    auto keys = std::vector<std::string>{};
+    for (const auto &record : page.value().records) {
+        keys.push_back(record.key);
+    }
+    return keys;
+}
+
+} // namespace
+
+TEST_CASE("an item without a readable name or offset ends no snapshot")
+{
+    for (const auto &item : std::vector<std::string>{
+             "null", "7", "[]", "{}", R"({"Value":"eA==","Offset":5})",
+             R"({"Key":7,"Value":"eA==","Offset":5})", R"({"Key":"m","Value":"eA=="})",
+             R"({"Key":"m","Value":"eA==","Offset":-1})",
+             R"({"Key":"m","Value":"eA==","Offset":1.5})",
+             R"({"Key":"m","Value":"eA==","Offset":"5"})"}) {
+        CAPTURE(item);
+        CHECK(keysOf(parseNewestPage(pageWith(item))) == std::vector<std::string>{"a", "z"});
+    }
+}
+
+TEST_CASE("an item without a readable value ends no snapshot and keeps its name")
+{
+    for (const auto &item : std::vector<std::string>{
+             R"({"Key":"m","Offset":5})", R"({"Key":"m","Value":null,"Offset":5})",
+             R"({"Key":"m","Value":"no base64!","Offset":5})",
+             R"({"Key":"m","Value":7,"Offset":5})"}) {
+        CAPTURE(item);
+        const auto page = parseNewestPage(pageWith(item));
+        REQUIRE(keysOf(page) == std::vector<std::string>{"a", "m", "z"});
+        CHECK(page.value().records.at(1) == KeyedRecord{.offset = 5, .key = "m", .value = ""});
+    }
+}
+
+TEST_CASE("a page without its end or its items is an error")
+{
+    for (const auto &body : std::vector<std::string>{
+             "", "[]", "null", "{", R"({"items":[],"More":false})", R"({"items":[],"End":3})",
+             R"({"More":false,"End":3})", R"({"items":[],"More":false,"End":-1})",
+             R"({"items":7,"More":false,"End":3})"}) {
+        CAPTURE(body);
+        CHECK_FALSE(static_cast<bool>(parseNewestPage(body)));
+    }
+}
