--- a/tests/contract/store_pages_test.cpp
+++ b/tests/contract/store_pages_test.cpp
@@ -64,6 +64,17 @@
     }
 }
 
+TEST_CASE("a page that is no UTF-8 ends no snapshot")
+{
+    for (const auto *bytes : {"\xff", "\x80", "a\xc3", "\xed\xa0\x80", "\xf5\x80\x80\x80"}) {
+        const auto item = R"({"Key":"m)" + std::string(bytes) + R"(","Value":"eA==","Offset":5})";
+        const auto keys = keysOf(parseNewestPage(pageWith(item)));
+        REQUIRE(keys.size() == 3);
+        CHECK(keys.front() == "a");
+        CHECK(keys.back() == "z");
+    }
+}
+
 TEST_CASE("a page without its end or its items is an error")
 {
     for (const auto &body : std::vector<std::string>{
