--- a/tests/contract/odd_entry_test.cpp
+++ b/tests/contract/odd_entry_test.cpp
@@ -87,8 +87,17 @@
     PlatformStore store;
     HttpClient http{loop, {}};
     std::optional<StoreClient> client;
+    int topics = 0; ///< topics that a test has written
 };
 
+auto containsAll(const std::vector<std::string> &keys, const std::vector<std::string> &expected)
+    -> bool
+{
+    return std::all_of(expected.begin(), expected.end(), [&](const auto &key) {
+        return std::find(keys.begin(), keys.end(), key) != keys.end();
+    });
+}
+
 // Writes entries with the names to a topic. Returns the names in the order of the store.
 auto write(PlatformStore &store, const std::string &topic, std::vector<std::string> names)
     -> std::vector<std::string>
@@ -111,10 +120,9 @@
 auto checkEachPosition(const PlatformStoreOptions &options) -> void
 {
     auto reader = ReadStore(options);
-    auto topics = 0;
     for (const auto &oddName : oddNames()) {
         for (std::size_t position = 0; position < 7; ++position) {
-            const auto topic = std::string("t").append(std::to_string(topics++));
+            const auto topic = std::to_string(reader.topics++);
             const auto names = write(reader.store, topic, withOddNameAt(position, oddName));
             CAPTURE(oddName);
             CAPTURE(position);
@@ -151,6 +159,27 @@
     CHECK(reader.newestKeys("keyed.servers") == names);
 }
 
+TEST_CASE("a name that is no UTF-8 hides no other entry, wherever it stands on the pages")
+{
+    const auto names =
+        std::vector<std::string>{"b", "d", "h", "n", "z", "z\xc3\xbc", "z\xe6\x97\xa5"};
+    for (const auto pageRecords : {4, 5, 6, 7}) {
+        auto reader = ReadStore({.pageRecords = static_cast<std::size_t>(pageRecords)});
+        for (const auto *bytes : {"\xff", "\x80", "\xc3", "m\xf5", "\xed\xa0\x80"}) {
+            for (const auto &name : names) {
+                auto written = names;
+                written.push_back(name + bytes);
+                written.push_back(name + bytes + bytes);
+                const auto topic = std::to_string(reader.topics++);
+                write(reader.store, topic, written);
+                const auto keys = reader.newestKeys(topic);
+                CAPTURE(name);
+                CHECK(containsAll(keys, names));
+            }
+        }
+    }
+}
+
 TEST_CASE("a VM that starts while odd entries stand in the store's topics serves")
 {
     auto deployment = GatewayDeployment(0);
--- a/tests/standins/platform_store.cpp
+++ b/tests/standins/platform_store.cpp
@@ -185,8 +185,8 @@
         items.push_back(
             {{"Key", key}, {"Value", encodeBase64(*records[offset].value)}, {"Offset", offset}});
     }
-    exchange.respond(
-        jsonResponse(200, json{{"items", items}, {"More", more}, {"End", records.size()}}.dump()));
+    const auto page = json{{"items", items}, {"More", more}, {"End", records.size()}};
+    exchange.respond(jsonResponse(200, page.dump(-1, ' ', false, json::error_handler_t::replace)));
 }
 
 auto PlatformStore::join(HttpExchange exchange, const StoreCall &call) -> void
