--- a/tests/contract/odd_entry_test.cpp
+++ b/tests/contract/odd_entry_test.cpp
@@ -180,6 +180,24 @@
     }
 }
 
+TEST_CASE("a page of names that are no UTF-8 only ends no snapshot")
+{
+    const auto names = std::vector<std::string>{"a", "b", "c", "d"};
+    for (const auto pageRecords : {1, 2, 3}) {
+        auto reader = ReadStore({.pageRecords = static_cast<std::size_t>(pageRecords)});
+        for (const auto *bytes : {"\xff", "\x80", "m\xf5"}) {
+            auto written = names;
+            for (const auto *suffix : {"1", "2", "3", "\xff"}) {
+                written.push_back(std::string("b").append(bytes).append(suffix));
+                written.push_back(std::string(bytes).append(suffix));
+            }
+            const auto topic = std::to_string(reader.topics++);
+            write(reader.store, topic, written);
+            CHECK(containsAll(reader.newestKeys(topic), names));
+        }
+    }
+}
+
 TEST_CASE("a VM that starts while odd entries stand in the store's topics serves")
 {
     auto deployment = GatewayDeployment(0);
--- a/tests/contract/store_pages_test.cpp
+++ b/tests/contract/store_pages_test.cpp
@@ -8,7 +8,6 @@
 
 using namespace figlanding;
 using figlanding::platform::NewestPage;
-using figlanding::platform::parseLogPage;
 using figlanding::platform::parseNewestPage;
 
 namespace {
