--- a/tests/contract/store_pages_test.cpp
+++ b/tests/contract/store_pages_test.cpp
@@ -84,3 +84,29 @@
         CHECK_FALSE(static_cast<bool>(parseNewestPage(body)));
     }
 }
+
+// Guards against the removal of a live server whose name such a record begins with.
+TEST_CASE("a log record that ends within its key removes no key")
+{
+    const auto end = std::string("\0\0\0\0\0\0\0\5", 8);
+    const auto first = std::string(8, '\0');
+    const auto wholeRecord = std::string("\0\0\0\4\1kvv", 8);
+    for (const auto &record : {std::string("\0\0\0\4\xffs-1", 8), std::string("\0\0\0\3\3s-", 7),
+                               std::string("\0\0\0\1\1", 5), std::string("\0\0\0\0", 4)}) {
+        const auto body = end + first + wholeRecord + record + wholeRecord;
+        const auto page = figlanding::platform::parseLogPage(body, 2);
+        REQUIRE(static_cast<bool>(page));
+        CHECK(page.value().next == 5);
+        REQUIRE(page.value().records.size() == 3);
+        CHECK(page.value().records.at(1) == KeyedRecord{.offset = 3, .key = "", .value = ""});
+        CHECK(page.value().records.at(2).key == "k");
+    }
+}
+
+TEST_CASE("a log record without a value removes its key")
+{
+    const auto body = std::string(16, '\0') + std::string("\0\0\0\4\3s-1", 8);
+    const auto page = figlanding::platform::parseLogPage(body, 0);
+    REQUIRE(static_cast<bool>(page));
+    CHECK(page.value().records == std::vector<KeyedRecord>{{.offset = 0, .key = "s-1"}});
+}
