--- a/include/figlanding/gateway/fleet_records.h
+++ b/include/figlanding/gateway/fleet_records.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -62,11 +63,14 @@
 /// Encodes a record for the store.
 [[nodiscard]] auto encodeFleetRecord(const FleetRecord &record) -> EncodedRecord;
 /// Decodes a record from the store.
-/// @return InvalidSyntax or InvalidValue if the record is malformed or of unknown type, or if it is
-/// a
-///     table that does not cover all keys
+/// @return InvalidSyntax or InvalidValue if the record is malformed, of unknown type, or a table
+/// that does not cover all keys
 [[nodiscard]] auto decodeFleetRecord(const KeyedRecord &record) -> Result<FleetRecord>;
 
+/// Returns whether a record with this key says who owns which keys, or who may change that. A VM
+/// that cannot read such a record must not write over it.
+[[nodiscard]] auto concernsOwnership(std::string_view key) -> bool;
+
 /// Returns a table record as the TableChange from the tables before it, or nothing if @p record is
 /// no table or the change would be little shorter.
 [[nodiscard]] auto asTableChange(const KeyedRecord &record,
--- a/src/core/gateway/fleet_records.cpp
+++ b/src/core/gateway/fleet_records.cpp
@@ -204,6 +204,11 @@
     return fail(ErrorCode::InvalidValue, "record key " + record.key + " has no known type");
 }
 
+auto concernsOwnership(std::string_view key) -> bool
+{
+    return key == claimKey || key.starts_with(tablePrefix) || key.starts_with(changePrefix);
+}
+
 auto asTableChange(const KeyedRecord &record, const std::map<ServiceId, OwnershipTable> &tables)
     -> std::optional<KeyedRecord>
 {
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -316,6 +316,9 @@
         if (!decoded) {
             logEvent(LogLevel::Error, "fleet-record-unreadable",
                      {{"key", record.key}, {"error", describe(decoded.error())}});
+            if (!concernsOwnership(record.key)) {
+                m_ownership.end = std::max(m_ownership.end, record.offset + 1);
+            }
             return;
         }
         if (const auto *member = std::get_if<MemberRecord>(&decoded.value())) {
--- a/tests/contract/odd_entry_test.cpp
+++ b/tests/contract/odd_entry_test.cpp
@@ -212,3 +212,18 @@
     CHECK(deployment.serves(0, "/read/1"));
     CHECK(deployment.serves(0, "/keyed/1"));
 }
+
+TEST_CASE("an entry of another writer in the fleet's topic stops no change of owners")
+{
+    const auto removed = std::optional<std::string>();
+    for (const auto &value : {std::optional<std::string>("junk"), removed}) {
+        auto deployment = GatewayDeployment(1);
+        REQUIRE(deployment.serves(0, "/keyed/1"));
+        deployment.store().put("keyed.figlanding", "odd & odd", value);
+        deployment.runFor(milliseconds(300));
+        deployment.drain(0);
+        const auto &other = deployment.server(1);
+        CHECK(deployment.eventually(
+            [&] { return other.holds(0) && other.holds(40'000) && other.holds(65'535); }));
+    }
+}
