--- a/tests/contract/store_view_test.cpp
+++ b/tests/contract/store_view_test.cpp
@@ -187,3 +187,27 @@
         CHECK(view.store.ownership().end == 9);
     }
 }
+
+// Guards against requests to a server that leaves, if another writer's entry has the largest
+// sequence.
+TEST_CASE("an entry with a number that is none holds back no entry of the server itself")
+{
+    const auto own = entry({.sequence = 1});
+    const auto numbers = std::vector<std::string>{"-1",   "1.5",  "1e300", "18446744073709551616",
+                                                  "true", "null", "[7]",   "\"7\""};
+    for (const auto &field : std::vector<std::string>{"Sequence", "born", "MaxConcurrency"}) {
+        for (const auto &number : numbers) {
+            CAPTURE(field);
+            CAPTURE(number);
+            auto view = View();
+            view.store.onServerRecord(own);
+            auto odd = nlohmann::json::parse(own.value.value());
+            odd[field] = nlohmann::json::parse(number);
+            view.store.onServerRecord({.offset = 2, .key = own.key, .value = odd.dump()});
+            view.store.onServerRecord(entry({.state = "draining", .sequence = 2}));
+            CHECK(view.known().draining);
+            CHECK(view.known().startedUnixMs == server.startedUnixMs);
+            CHECK(view.known().slots == 2);
+        }
+    }
+}
