--- a/tests/contract/store_view_test.cpp
+++ b/tests/contract/store_view_test.cpp
@@ -211,3 +211,25 @@
         }
     }
 }
+
+// Guards against requests that no server can confirm to be meant for it.
+TEST_CASE("an entry whose name cannot stand in a header names no server")
+{
+    for (const auto &name : std::vector<std::string>{"", " ", "s ", " s", "\ts", "s\n", "s\r\nx: y",
+                                                     "s\x7f", std::string("s\0", 2)}) {
+        CAPTURE(name);
+        auto view = View();
+        auto odd = entry({});
+        odd.key = name;
+        CHECK_FALSE(view.store.onServerRecord(odd));
+        CHECK(view.store.registry().servers().empty());
+    }
+    for (const auto &name : std::vector<std::string>{"a b", "a&b", "%", "z\xc3\xbc", "#", "+"}) {
+        CAPTURE(name);
+        auto view = View();
+        auto usable = entry({});
+        usable.key = name;
+        view.store.onServerRecord(usable);
+        CHECK(view.store.registry().servers().size() == 1);
+    }
+}
