--- a/tests/contract/gateway_deployment.cpp
+++ b/tests/contract/gateway_deployment.cpp
@@ -10,9 +10,11 @@
 
 namespace figlanding::standins {
 
-GatewayDeployment::GatewayDeployment(int vms, milliseconds gracePeriod, std::string vmPrefix)
+GatewayDeployment::GatewayDeployment(int vms, milliseconds gracePeriod, std::string vmPrefix,
+                                     double trialShare)
     : m_gracePeriod(gracePeriod)
     , m_vmPrefix(std::move(vmPrefix))
+    , m_trialShare(trialShare)
     , m_announceTimer(m_loop, [this] { announce(); })
     , m_client(m_loop, {})
 {
@@ -170,7 +172,8 @@
                                           .admin = freeAddress(),
                                           .fleet = freeAddress(),
                                           .store = m_store.address(),
-                                          .gracePeriod = m_gracePeriod};
+                                          .gracePeriod = m_gracePeriod,
+                                          .trialShare = m_trialShare};
     m_callers.push_back(settings.callers);
     m_vms.push_back(std::make_unique<Vm>(m_loop, settings));
     REQUIRE(succeeds([&] { return m_vms.back()->start(); }));
--- a/tests/contract/gateway_deployment.h
+++ b/tests/contract/gateway_deployment.h
@@ -38,8 +38,9 @@
     using Vm = Gateway<platform::PlatformTraits>;
 
     /// @param vmPrefix beginning of the VMs' names, which decide what each is responsible for
+    /// @param trialShare as in GatewaySettings; roll-outs are off without it
     explicit GatewayDeployment(int vms, milliseconds gracePeriod = milliseconds(6000),
-                               std::string vmPrefix = "vm-");
+                               std::string vmPrefix = "vm-", double trialShare = 0.0);
 
     /// Runs the loop until a condition holds. Returns whether it held within the limit.
     auto runUntil(const std::function<bool()> &condition, milliseconds limit = milliseconds(8000))
@@ -100,6 +101,7 @@
     std::vector<AnnouncedServer> m_servers;
     milliseconds m_gracePeriod;
     std::string m_vmPrefix;
+    double m_trialShare = 0.0;
     Timer m_announceTimer;
     HttpClient m_client;
     std::vector<SocketAddress> m_callers;
--- a/tests/contract/odd_entry_test.cpp
+++ b/tests/contract/odd_entry_test.cpp
@@ -243,3 +243,34 @@
     CHECK(deployment.eventually(
         [&] { return other.holds(0) && other.holds(40'000) && other.holds(65'535); }));
 }
+
+TEST_CASE("entries with odd names that arrive while VMs run stop none")
+{
+    auto deployment = GatewayDeployment(2, milliseconds(6000), "vm-", 0.5);
+    REQUIRE(deployment.serves(0, "/keyed/1"));
+    auto names = oddNames();
+    names.insert(names.end(), {"", "\xff", "a\x80", "\xc3", std::string(200, '\xfe')});
+    const auto order = R"({"To":"v2","Duration":"2s"})";
+    const auto server = deployment.server(3).entry("ledger", "a", 1, false);
+    auto number = 0;
+    for (const auto &oddName : names) {
+        for (const auto *value : {"junk", "{}", order, server.c_str()}) {
+            const auto name = std::to_string(number++) + oddName;
+            deployment.store().put("keyed.servers", name, value);
+            deployment.store().put("keyed.op", "rollout/" + name, value);
+            deployment.store().put("keyed.op", "evacuate/" + name, value);
+            deployment.store().put("keyed.figlanding", "rollout/" + name, value);
+            deployment.store().put("keyed.figlanding", "member/" + name, value);
+            deployment.store().put("keyed.status", "rollout/" + name, value);
+        }
+    }
+    deployment.runFor(milliseconds(2500));
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        CHECK(deployment.serves(vm, "/read/1"));
+        CHECK(deployment.serves(vm, "/keyed/1"));
+    }
+    deployment.drain(0);
+    const auto &other = deployment.server(1);
+    CHECK(deployment.eventually(
+        [&] { return other.holds(0) && other.holds(40'000) && other.holds(65'535); }));
+}
