--- a/tests/contract/key_lease_client_test.cpp
+++ b/tests/contract/key_lease_client_test.cpp
@@ -193,3 +193,31 @@
     CHECK(calls.grant() == CommandOutcome::Accepted);
     CHECK(calls.server().requests().size() == 2);
 }
+
+// Guards against the end of each VM in control, as the token stands in the table of owners.
+TEST_CASE("a hand-over token that is no UTF-8 ends no VM, and its keys are granted without it")
+{
+    for (const auto &token : std::vector<std::string>{"\xff", "a\x80z", "\xc3"}) {
+        auto calls = LeaseCalls({{read(), send(released(token))}, {read(), send(granted)}});
+        CHECK(calls.release() == CommandOutcome::Accepted);
+        auto command = GrantCommand{};
+        command.handOver = calls.token().empty() ? token : calls.token();
+        CHECK(calls.grant(command, milliseconds(2000)) == CommandOutcome::Accepted);
+        REQUIRE(calls.server().requests().size() == 2);
+        CHECK(calls.server().requests().back().find("Handover") == std::string::npos);
+    }
+}
+
+TEST_CASE("a hand-over token of any UTF-8 text is granted as it was released")
+{
+    const auto token = std::string("z\xc3\xbc \"%+&\\");
+    auto calls = LeaseCalls({{read(), send(released(token))}, {read(), send(granted)}});
+    CHECK(calls.release() == CommandOutcome::Accepted);
+    auto command = GrantCommand{};
+    command.handOver = calls.token();
+    CHECK(calls.grant(command, milliseconds(2000)) == CommandOutcome::Accepted);
+    CHECK(calls.server().requests().back().find(R"("Handover":"z)"
+                                                "\xc3\xbc"
+                                                R"( \"%+&\\")")
+          != std::string::npos);
+}
