--- /dev/null
+++ b/src/core/json_text.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string_view>
+
+/// @file
+/// Parses JSON that other programs have written.
+
+namespace figlanding {
+
+/// Parses a JSON text. If it is malformed as it is, its bytes that are no UTF-8 count as U+FFFD, so
+/// that a name of another writer spoils nothing else of the text.
+/// @return the value; discarded if the text is malformed
+[[nodiscard]] auto parseJsonText(std::string_view text) -> nlohmann::json;
+
+} // namespace figlanding
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -69,7 +69,7 @@
     auto onState(const ClusterState &state) -> void;
     auto onLogRead(TimePoint sentAt, LogOffset tail) -> void;
     auto onLogError(const Error &error) -> void;
-    auto onVmList(const std::vector<VmListEntry> &entries) -> void;
+    auto onVmList(const VmList &list) -> void;
     auto onPeerReport(const PeerReport &report) -> void;
     auto onHeartbeatResponse(const PeerReport &report, TimePoint sentAt) -> void;
     auto onCrash(const CrashFindings &findings) -> void;
@@ -238,12 +238,16 @@
     }
 }
 
-auto Daemon::Impl::onVmList(const std::vector<VmListEntry> &entries) -> void
+auto Daemon::Impl::onVmList(const VmList &list) -> void
 {
-    controller->controller().onVmList(entries, loop.now());
+    if (list.complete) {
+        controller->controller().onVmList(list.entries, loop.now());
+    }
     listedPeers.clear();
-    for (const auto &entry : entries) {
-        listedPeers.insert(entry.peerAddress);
+    for (const auto &entry : list.entries) {
+        if (!entry.peerAddress.ip.empty()) {
+            listedPeers.insert(entry.peerAddress);
+        }
     }
     updatePeers();
 }
@@ -394,8 +398,7 @@
     auto *impl = m_impl.get();
     impl->vmList = std::make_unique<VmListPoller>(
         impl->loop, impl->platformClient, impl->settings.vmList.address,
-        impl->settings.vmList.pollInterval,
-        [impl](const std::vector<VmListEntry> &entries) { impl->onVmList(entries); });
+        impl->settings.vmList.pollInterval, [impl](const VmList &list) { impl->onVmList(list); });
     impl->follower.start();
     impl->snapshots.start();
     logEvent(LogLevel::Info, "started", {{"incarnation", impl->incarnation}});
--- a/src/daemon/vm_list_poller.cpp
+++ b/src/daemon/vm_list_poller.cpp
@@ -1,60 +1,61 @@
 #include "daemon/vm_list_poller.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace figlanding {
 
 namespace {
 
 using nlohmann::json;
 
-auto stringField(const json &entry, const char *name) -> Result<std::string>
+// Returns a text field of an entry; empty if it cannot be read.
+auto textOf(const json &entry, const char *name) -> std::string
 {
     const auto found = entry.find(name);
-    if (found == entry.end() || !found->is_string()) {
-        return fail(ErrorCode::ProtocolViolation,
-                    std::string("field \"") + name
-                        + "\" of a VM list entry is missing or not a string");
-    }
-    return found->get<std::string>();
+    return found != entry.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
-auto parseEntry(const json &entry) -> Result<VmListEntry>
+auto addressOf(const json &entry) -> SocketAddress
 {
-    if (!entry.is_object()) {
-        return fail(ErrorCode::ProtocolViolation, "an entry of the VM list is not a JSON object");
-    }
-    BOOST_LEAF_AUTO(vm, stringField(entry, "vm"));
-    BOOST_LEAF_AUTO(zone, stringField(entry, "zone"));
-    BOOST_LEAF_AUTO(address, stringField(entry, "peer_address"));
-    BOOST_LEAF_AUTO(state, stringField(entry, "state"));
-    BOOST_LEAF_AUTO(peerAddress, parseSocketAddress(address));
-    return VmListEntry{.vm = VmId(std::move(vm)),
-                       .zone = AvailabilityZoneId(std::move(zone)),
-                       .peerAddress = std::move(peerAddress),
-                       .leaving = state == "leaving"};
+    return valueOrElse([&] { return parseSocketAddress(textOf(entry, "peer_address")); },
+                       [](const Error &) { return SocketAddress{}; });
+}
+
+auto parseEntry(const json &entry) -> VmListEntry
+{
+    return VmListEntry{.vm = VmId(textOf(entry, "vm")),
+                       .zone = AvailabilityZoneId(textOf(entry, "zone")),
+                       .peerAddress = addressOf(entry),
+                       .leaving = textOf(entry, "state") == "leaving"};
 }
 
 } // namespace
 
-auto parseVmList(std::string_view text) -> Result<std::vector<VmListEntry>>
+auto parseVmList(std::string_view text) -> Result<VmList>
 {
-    const auto body = json::parse(text, nullptr, false);
+    const auto body = parseJsonText(text);
     if (!body.is_object() || !body.contains("vms") || !body["vms"].is_array()) {
         return fail(ErrorCode::ProtocolViolation,
                     "the VM list is not a JSON object with an array \"vms\"");
     }
-    std::vector<VmListEntry> entries;
+    auto list = VmList{};
     for (const auto &item : body["vms"]) {
-        BOOST_LEAF_AUTO(entry, parseEntry(item));
-        entries.push_back(std::move(entry));
+        auto entry = parseEntry(item);
+        if (entry.vm.empty()) {
+            list.complete = false;
+        } else {
+            list.entries.push_back(std::move(entry));
+        }
     }
-    return entries;
+    return list;
 }
 
 VmListPoller::VmListPoller(EventLoop &loop, HttpClient &client, SocketAddress address,
-                           milliseconds interval,
-                           std::function<void(std::vector<VmListEntry>)> onList)
+                           milliseconds interval, std::function<void(const VmList &)> onList)
     : m_client(client)
     , m_address(std::move(address))
     , m_interval(interval)
--- a/src/daemon/vm_list_poller.h
+++ b/src/daemon/vm_list_poller.h
@@ -11,9 +11,19 @@
 
 namespace figlanding {
 
+/// The platform's list of VMs, as far as it can be read.
+struct VmList
+{
+    /// Entries that name a VM; a field that cannot be read is empty.
+    std::vector<VmListEntry> entries;
+    bool complete = true; ///< false if an entry names no VM: the list proves no VM's absence
+
+    auto operator==(const VmList &) const -> bool = default;
+};
+
 /// Parses the response body of the VM list. Never throws, whatever the input.
-/// @return ProtocolViolation if the list or one of its entries is malformed
-[[nodiscard]] auto parseVmList(std::string_view text) -> Result<std::vector<VmListEntry>>;
+/// @return ProtocolViolation if the text is no list
+[[nodiscard]] auto parseVmList(std::string_view text) -> Result<VmList>;
 
 /// Fetches the VM list at an interval and reports each valid list. A failed or malformed response
 /// is skipped.
@@ -23,7 +33,7 @@
     /// @param interval time between two polls, also the timeout of one
     /// @param onList receives each list
     VmListPoller(EventLoop &loop, HttpClient &client, SocketAddress address, milliseconds interval,
-                 std::function<void(std::vector<VmListEntry>)> onList);
+                 std::function<void(const VmList &)> onList);
 
 private:
     auto poll() -> void;
@@ -31,7 +41,7 @@
     HttpClient &m_client;
     SocketAddress m_address;
     milliseconds m_interval;
-    std::function<void(std::vector<VmListEntry>)> m_onList;
+    std::function<void(const VmList &)> m_onList;
     bool m_polling = false; ///< a poll is in progress
     Timer m_timer;
 };
