--- a/src/io/log_service.cpp
+++ b/src/io/log_service.cpp
@@ -1,5 +1,6 @@
 #include "io/log_service.h"
 
+#include "core/json_text.h"
 #include "figlanding/codec.h"
 
 #include <nlohmann/json.hpp>
@@ -24,7 +25,7 @@
                     "the log service returned HTTP status "
                         + std::to_string(outcome.response.status));
     }
-    auto body = json::parse(outcome.response.body, nullptr, false);
+    auto body = parseJsonText(outcome.response.body);
     if (!body.is_object()) {
         return fail(ErrorCode::ProtocolViolation,
                     "the log service's response is not a JSON object");
--- a/tests/contract/log_service_test.cpp
+++ b/tests/contract/log_service_test.cpp
@@ -62,3 +62,17 @@
     REQUIRE(response);
     CHECK_FALSE(*response);
 }
+
+// Guards against a log that no VM can read any more.
+TEST_CASE("a record that is no UTF-8 hides no other record of the log")
+{
+    auto outcome = HttpOutcome{.verdict = Verdict::Ran};
+    outcome.response.status = 200;
+    outcome.response.body = "{\"first\":0,\"tail\":3,\"records\":[{\"offset\":0,\"record\":{}},"
+                            "{\"offset\":1,\"record\":{\"type\":\"\xff\"}},"
+                            "{\"offset\":2,\"record\":{\"type\":\"a\x80\"}}]}";
+    const auto response = settle([&] { return parseLogReadResponse(outcome); });
+    REQUIRE(static_cast<bool>(response));
+    REQUIRE(response.value().records.size() == 3);
+    CHECK(response.value().records.back().offset == 2);
+}
