--- a/src/core/json_text.cpp
+++ b/src/core/json_text.cpp
@@ -10,11 +10,15 @@
 
 using nlohmann::json;
 
+auto quotedBy(json::error_handler_t handler, std::string_view text) -> std::string
+{
+    return json(text).dump(-1, ' ', false, handler);
+}
+
 // Replaces the bytes that are no UTF-8 by U+FFFD.
 auto withoutInvalidUtf8(std::string_view bytes) -> std::string
 {
-    const auto quoted = json(bytes).dump(-1, ' ', false, json::error_handler_t::replace);
-    return json::parse(quoted).get<std::string>();
+    return json::parse(quotedBy(json::error_handler_t::replace, bytes)).get<std::string>();
 }
 
 } // namespace
@@ -25,4 +29,10 @@
     return value.is_discarded() ? json::parse(withoutInvalidUtf8(text), nullptr, false) : value;
 }
 
+auto isUtf8(std::string_view text) -> bool
+{
+    return quotedBy(json::error_handler_t::ignore, text)
+        == quotedBy(json::error_handler_t::replace, text);
+}
+
 } // namespace figlanding
--- a/src/core/json_text.h
+++ b/src/core/json_text.h
@@ -5,7 +5,7 @@
 #include <string_view>
 
 /// @file
-/// Parses JSON that other programs have written.
+/// JSON with texts that other programs have written.
 
 namespace figlanding {
 
@@ -14,4 +14,7 @@
 /// @return the value; discarded if the text is malformed
 [[nodiscard]] auto parseJsonText(std::string_view text) -> nlohmann::json;
 
+/// Returns whether a text can be written as a JSON string.
+[[nodiscard]] auto isUtf8(std::string_view text) -> bool;
+
 } // namespace figlanding
