--- a/tests/contract/platform_protocol_test.cpp
+++ b/tests/contract/platform_protocol_test.cpp
@@ -79,6 +79,7 @@
 TEST_CASE("malformed configurations are decoding errors, not empty states")
 {
     for (const auto *text : {"", "[]", "{}", R"({"Version":"7","Routes":[],"Services":[]})",
+                             R"({"Version":"","Routes":[],"Services":[]})",
                              R"({"Version":"r7","Routes":[{}],"Services":[]})",
                              R"({"Version":"r7","Routes":5,"Services":[]})"}) {
         CHECK(decodeState(text).version == 0);
