--- a/tests/contract/gateway_deployment.cpp
+++ b/tests/contract/gateway_deployment.cpp
@@ -147,7 +147,7 @@
     static auto next = std::random_device{}() % ports;
     for (;;) {
         next = (next + 1) % ports;
-        const auto address =
+        auto address =
             SocketAddress{.ip = "127.0.0.1", .port = static_cast<std::uint16_t>(firstPort + next)};
         const auto isFree = valueOrElse(
             [&]() -> Result<bool> {
--- a/tests/contract/store_pages_test.cpp
+++ b/tests/contract/store_pages_test.cpp
@@ -74,6 +74,17 @@
     }
 }
 
+TEST_CASE("a page without items is read, also if the list is null")
+{
+    for (const auto *items : {"[]", "null"}) {
+        const auto body =
+            std::string(R"({"More":false,"End":3,"items":)").append(items).append("}");
+        const auto page = parseNewestPage(body);
+        REQUIRE(static_cast<bool>(page));
+        CHECK(page.value() == NewestPage{.end = 3});
+    }
+}
+
 TEST_CASE("a page without its end or its items is an error")
 {
     for (const auto &body : std::vector<std::string>{
@@ -93,7 +104,8 @@
     const auto wholeRecord = std::string("\0\0\0\4\1kvv", 8);
     for (const auto &record : {std::string("\0\0\0\4\xffs-1", 8), std::string("\0\0\0\3\3s-", 7),
                                std::string("\0\0\0\1\1", 5), std::string("\0\0\0\0", 4)}) {
-        const auto body = end + first + wholeRecord + record + wholeRecord;
+        auto body = end;
+        body.append(first).append(wholeRecord).append(record).append(wholeRecord);
         const auto page = figlanding::platform::parseLogPage(body, 2);
         REQUIRE(static_cast<bool>(page));
         CHECK(page.value().next == 5);
--- a/tests/unit/json_text_test.cpp
+++ b/tests/unit/json_text_test.cpp
@@ -32,7 +32,9 @@
 TEST_CASE("bytes that are no UTF-8 spoil nothing else of a JSON text")
 {
     for (const auto &text : invalidTexts) {
-        const auto value = parseJsonText("[1,\"" + text + "\",{\"" + text + "\":2},\"b\"]");
+        auto json = std::string("[1,\"");
+        json.append(text).append("\",{\"").append(text).append("\":2},\"b\"]");
+        const auto value = parseJsonText(json);
         REQUIRE(value.is_array());
         REQUIRE(value.size() == 4);
         CHECK(value[0] == 1);
