--- a/src/core/json_text.h
+++ b/src/core/json_text.h
@@ -9,6 +9,9 @@
 
 namespace figlanding {
 
+/// U+FFFD in UTF-8: stands for bytes that are none.
+inline constexpr std::string_view replacementCharacter = "\xef\xbf\xbd";
+
 /// Parses a JSON text. If it is malformed as it is, its bytes that are no UTF-8 count as U+FFFD, so
 /// that a name of another writer spoils nothing else of the text.
 /// @return the value; discarded if the text is malformed
--- a/tests/contract/store_view_test.cpp
+++ b/tests/contract/store_view_test.cpp
@@ -212,6 +212,20 @@
     }
 }
 
+// Guards against a server that stays known after its removal, as a snapshot has another name for
+// it.
+TEST_CASE("an entry whose name a snapshot cannot have as it is names no server")
+{
+    for (const auto &name : std::vector<std::string>{"\xff", "s\x80", "s\xc3", "s\xef\xbf\xbd"}) {
+        CAPTURE(name);
+        auto view = View();
+        auto odd = entry({});
+        odd.key = name;
+        CHECK_FALSE(view.store.onServerRecord(odd));
+        CHECK(view.store.registry().servers().empty());
+    }
+}
+
 // Guards against requests that no server can confirm to be meant for it.
 TEST_CASE("an entry whose name cannot stand in a header names no server")
 {
